--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -90,7 +90,7 @@
 type adder func(parent *flags.Command, env *Environment) error
 
 func commands() []adder {
-	return []adder{addServe, addSettings, addRules, addStatus, addReport, addAddresses, addVersion}
+	return []adder{addServe, addFleet, addSettings, addRules, addStatus, addReport, addAddresses, addVersion}
 }
 
 // add adds a command without subcommands. Single line ends in the help are those of the source file; go-flags wraps lines to
--- /dev/null
+++ b/internal/fleet/forwarder/attempt.go
@@ -0,0 +1,337 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/dialer"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+const (
+	// answerLimit bounds the answer of a plain service that is kept in memory until it is whole.
+	answerLimit = 8 << 20
+	// silencePart is how many times longer than expected the first event of a stream may take before the engine counts as silent.
+	silencePart = 2
+	// minSilence is the shortest such time: an engine whose helper died stalls for 1.5 s and then says so, and callers of short prompts
+	// leave after 2 s.
+	minSilence = 1100 * time.Millisecond
+	// silenceTargets is how many objectives a safe call may take before it is sent to another endpoint.
+	silenceTargets = 2.5
+)
+
+// attempt sends the call to one endpoint and passes the answer on.
+func (f *Forwarder) attempt(ctx context.Context, p *progress, plan modeler.Plan, sink Sink) (outcome modeler.Outcome) {
+	id := f.request(p).ID
+	p.sends++
+	p.result.Endpoint, p.result.Helpers = plan.Endpoint.ID, len(plan.Helpers)
+	defer func() {
+		f.Control.Post(modeler.AttemptEnded{ID: id, Outcome: outcome})
+		if outcome == modeler.Unreachable || outcome == modeler.Silent || outcome == modeler.Misdirected {
+			f.Pool.Forget(plan.Endpoint.Address)
+		}
+	}()
+	x, err := f.Pool.Send(ctx, plan.Endpoint.Address, f.outgoing(p, plan))
+	if err != nil {
+		var failed dialer.SendError
+		if errors.As(err, &failed) && failed.Sent {
+			f.mayHaveRun(p)
+			return f.failure(ctx, err, modeler.Broken)
+		}
+		return f.failure(ctx, err, modeler.Unreachable)
+	}
+	complete := false
+	defer func() { x.Close(complete) }()
+	response, err := x.Answer(p.call.Method, f.silence(p, plan), func(header http.Header) bool {
+		own := f.Protocol.AnswerFields(0, header).RequestID
+		return own == "" || own == p.call.Fields.ID
+	})
+	if err != nil {
+		f.mayHaveRun(p)
+		return f.failure(ctx, err, modeler.Broken)
+	}
+	fields := f.Protocol.AnswerFields(response.StatusCode, response.Header)
+	if fields.NotRun {
+		complete = drained(response)
+		if fields.Misdirected {
+			return modeler.Misdirected
+		}
+		return modeler.Shed
+	}
+	if response.Header.Get("Content-Encoding") != "" || response.StatusCode < 300 && !fields.Signed {
+		f.mayHaveRun(p)
+		return modeler.Garbled
+	}
+	if p.call.Route.Kind == modeler.Stream && response.StatusCode < 300 {
+		outcome, complete = f.stream(ctx, p, plan, id, x, response, sink)
+		return outcome
+	}
+	outcome, complete = f.whole(ctx, p, x, response, sink)
+	return outcome
+}
+
+// drained reads a short answer to its end, so that the connection can be used again.
+func drained(response *http.Response) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, answerLimit))
+	return err == nil && n < answerLimit
+}
+
+// mayHaveRun counts an attempt that the endpoint may have run.
+func (f *Forwarder) mayHaveRun(p *progress) {
+	p.ran++
+	p.mayRun = true
+}
+
+func (f *Forwarder) outgoing(p *progress, plan modeler.Plan) dialer.Outgoing {
+	attempt := modeler.AttemptFields{
+		Endpoint: plan.Endpoint.ID, Member: p.call.Member.ID, Timeout: time.Until(p.deadline), LastEvent: p.lastEvent,
+	}
+	for _, h := range plan.Helpers {
+		attempt.Helpers = append(attempt.Helpers, modeler.Helper{Address: h.Address})
+	}
+	return dialer.Outgoing{
+		Method: p.call.Method, URI: p.call.URI, Host: p.call.Host, Header: f.Protocol.AttemptHeader(p.call.Header, attempt), Body: p.call.Body,
+	}
+}
+
+// silence is how long the endpoint may take until its answer begins.
+func (f *Forwarder) silence(p *progress, plan modeler.Plan) time.Duration {
+	left := time.Until(p.deadline)
+	if !p.call.Route.Repeatable() || p.ran+1 >= p.call.Route.Attempts {
+		return max(left, time.Millisecond)
+	}
+	limit := time.Duration(silenceTargets * float64(p.call.Route.Target))
+	if p.call.Route.Kind == modeler.Stream {
+		limit = max(minSilence, silencePart*plan.First+minSilence/2)
+	}
+	return max(min(limit, left), time.Millisecond)
+}
+
+// failure turns an error of a connection into an outcome.
+func (f *Forwarder) failure(ctx context.Context, err error, broken modeler.Outcome) modeler.Outcome {
+	var timeout net.Error
+	switch {
+	case ctx.Err() != nil:
+		return modeler.Abandoned
+	case errors.Is(err, dialer.ErrForeign):
+		return modeler.Garbled
+	case errors.As(err, &timeout) && timeout.Timeout() && broken != modeler.Unreachable:
+		return modeler.Silent
+	default:
+		return broken
+	}
+}
+
+// whole passes on an answer that is not a stream, once all of it is there.
+func (f *Forwarder) whole(ctx context.Context, p *progress, x *dialer.Exchange, response *http.Response, sink Sink) (modeler.Outcome, bool) {
+	if err := x.SetReadTimeout(max(time.Until(p.deadline), time.Millisecond)); err != nil {
+		f.mayHaveRun(p)
+		return modeler.Broken, false
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit+1))
+	if err != nil || len(body) > answerLimit {
+		f.mayHaveRun(p)
+		return f.failure(ctx, err, modeler.Broken), false
+	}
+	failed := response.StatusCode >= http.StatusInternalServerError
+	if failed && f.repeatFailure(ctx, p) {
+		return modeler.Failed, true
+	}
+	p.ran++
+	if untrue(response.StatusCode) {
+		// Towards callers these statuses promise that the request did not run, which the endpoint did not say.
+		p.mayRun = true
+		return modeler.Failed, true
+	}
+	p.begun = true
+	p.result.Status, p.result.Code, p.result.First = Delivered, response.StatusCode, time.Since(p.call.Arrived)
+	if err := sink.Begin(response.StatusCode, endToEnd(response.Header), len(body)); err != nil {
+		return modeler.Answered, true
+	}
+	// A caller that has left is told nothing; the server closes its connection.
+	if _, err := sink.Write(body); err != nil {
+		p.result.Status = Left
+	}
+	if failed {
+		return modeler.Failed, true
+	}
+	return modeler.Answered, true
+}
+
+// untrue tells whether a status promises to callers what the endpoint did not promise.
+func untrue(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// repeatFailure counts an attempt that failed and tells whether the call goes to another endpoint instead of passing the failure on.
+func (f *Forwarder) repeatFailure(ctx context.Context, p *progress) bool {
+	route := p.call.Route
+	again := route.Repeatable() && p.ran+1 < route.Attempts && p.sends < maxSends && time.Until(p.deadline) > minLeft && ctx.Err() == nil
+	if again {
+		f.mayHaveRun(p)
+	}
+	return again
+}
+
+// endToEnd returns the header without what concerns one connection only.
+func endToEnd(header http.Header) http.Header {
+	kept := make(http.Header, len(header))
+	for name, values := range header {
+		switch name {
+		case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
+		default:
+			kept[name] = values
+		}
+	}
+	return kept
+}
+
+// stream passes on events as they come. Only whole events are passed on, so that another engine can go on after the last one.
+func (f *Forwarder) stream(
+	ctx context.Context, p *progress, plan modeler.Plan, id modeler.RequestID, x *dialer.Exchange, response *http.Response, sink Sink,
+) (modeler.Outcome, bool) {
+	events := newEventReader(response.Body)
+	started := false
+	p.ran++
+	for {
+		timeout := f.silence(p, plan)
+		if started {
+			timeout = f.pause(p)
+		}
+		if err := x.SetReadTimeout(timeout); err != nil {
+			p.mayRun = true
+			return modeler.Broken, false
+		}
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			p.result.Status, p.result.Code = Delivered, response.StatusCode
+			if !p.begun && f.begin(p, response, sink) != nil {
+				p.result.Status = Left
+			}
+			return modeler.Answered, true
+		}
+		if err != nil {
+			p.mayRun = true
+			return f.failure(ctx, err, modeler.Broken), false
+		}
+		if !started {
+			started = true
+			f.Control.Post(modeler.AttemptStarted{ID: id})
+		}
+		if !p.begun {
+			if err := f.begin(p, response, sink); err != nil {
+				return modeler.Abandoned, false
+			}
+		}
+		if _, err := sink.Write(event.data); err != nil {
+			return modeler.Abandoned, false
+		}
+		if event.id != "" {
+			p.lastEvent = event.id
+		}
+		if events.buffered() {
+			continue
+		}
+		if err := sink.Flush(); err != nil {
+			return modeler.Abandoned, false
+		}
+	}
+}
+
+func (f *Forwarder) begin(p *progress, response *http.Response, sink Sink) error {
+	p.begun = true
+	p.result.First = time.Since(p.call.Arrived)
+	return sink.Begin(response.StatusCode, endToEnd(response.Header), -1)
+}
+
+// pause is how long an engine may pause between two events before the stream goes on elsewhere.
+func (f *Forwarder) pause(p *progress) time.Duration {
+	left := max(time.Until(p.deadline), time.Millisecond)
+	if !p.call.Route.Resumable || p.ran >= p.call.Route.Attempts {
+		return left
+	}
+	return min(left, max(minSilence, 2*p.call.Route.GapTarget))
+}
+
+// errCutEvent says that a stream ended inside an event.
+var errCutEvent = errors.New("stream ended inside an event")
+
+// event is one server-sent event with its end.
+type event struct {
+	data []byte
+	id   string
+}
+
+// eventReader splits a stream into events.
+type eventReader struct {
+	source io.Reader
+	buffer []byte
+	// start and end delimit what was read and not returned.
+	start, end int
+}
+
+// eventBuffer holds a usual event; larger ones grow it.
+const eventBuffer = 4 << 10
+
+func newEventReader(source io.Reader) *eventReader {
+	return &eventReader{source: source, buffer: make([]byte, eventBuffer)}
+}
+
+var eventEnd = []byte("\n\n")
+
+// buffered tells whether another whole event is there.
+func (r *eventReader) buffered() bool { return bytes.Contains(r.buffer[r.start:r.end], eventEnd) }
+
+// next returns the next event. Its data is valid until the next call. The end of the stream inside an event is an error.
+func (r *eventReader) next() (event, error) {
+	for {
+		if at := bytes.Index(r.buffer[r.start:r.end], eventEnd); at >= 0 {
+			data := r.buffer[r.start : r.start+at+len(eventEnd)]
+			r.start += len(data)
+			return event{data: data, id: eventID(data)}, nil
+		}
+		if r.start > 0 {
+			r.end = copy(r.buffer, r.buffer[r.start:r.end])
+			r.start = 0
+		}
+		if r.end == len(r.buffer) {
+			if len(r.buffer) >= answerLimit {
+				return event{}, errCutEvent
+			}
+			r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
+		}
+		n, err := r.source.Read(r.buffer[r.end:])
+		r.end += n
+		if n > 0 {
+			continue
+		}
+		if errors.Is(err, io.EOF) && r.end > 0 {
+			return event{}, errCutEvent
+		}
+		if err != nil {
+			return event{}, err
+		}
+	}
+}
+
+// eventID returns the value of the id field of an event.
+func eventID(data []byte) string {
+	for len(data) > 0 {
+		line, rest, _ := bytes.Cut(data, []byte("\n"))
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
+		}
+		data = rest
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/fleet/messenger/decode.go
@@ -0,0 +1,102 @@
+package messenger
+
+import (
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// decode turns the wire form into a message. It returns false for a body that this version does not know. Missing parts are zero values.
+func decode(now time.Time, d *Datagram) (modeler.Message, bool) {
+	message := modeler.Message{From: modeler.NodeID(d.GetFrom()), Incarnation: d.GetIncarnation()}
+	switch body := d.GetBody().(type) {
+	case *Datagram_Ask:
+		message.Body = modeler.Ask{Request: decodeRequest(now, body.Ask.GetRequest())}
+	case *Datagram_Queued:
+		message.Body = modeler.Queued{ID: modeler.RequestID(body.Queued)}
+	case *Datagram_Granted:
+		g := body.Granted
+		message.Body = modeler.Granted{ID: modeler.RequestID(g.GetId()), Decision: modeler.Decision{
+			Plan: decodePlan(g.GetPlan()), Refused: g.GetRefused(), Reason: modeler.RefusalReason(g.GetReason()), RetryAfter: microseconds(g.GetRetryAfter()),
+		}}
+	case *Datagram_Started:
+		message.Body = modeler.Started{ID: modeler.RequestID(body.Started)}
+	case *Datagram_Ended:
+		e := body.Ended
+		message.Body = modeler.Ended{
+			ID: modeler.RequestID(e.GetId()), Endpoint: modeler.EndpointID(e.GetEndpoint()),
+			Outcome: modeler.Outcome(min(e.GetOutcome(), uint32(modeler.Garbled))), Fingerprint: modeler.Fingerprint(e.GetFingerprint()),
+		}
+	case *Datagram_Beat:
+		message.Body = decodeBeat(now, body.Beat)
+	case *Datagram_Digest:
+		message.Body = decodeDigest(body.Digest)
+	default:
+		return message, false
+	}
+	return message, true
+}
+
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func decodeRequest(now time.Time, r *Request) modeler.Request {
+	tried := make([]modeler.EndpointID, 0, len(r.GetTried()))
+	for _, e := range r.GetTried() {
+		tried = append(tried, modeler.EndpointID(e))
+	}
+	return modeler.Request{
+		ID: modeler.RequestID(r.GetId()), Node: modeler.NodeID(r.GetNode()), Service: modeler.ServiceID(r.GetService()),
+		Kind: modeler.Kind(min(r.GetKind(), uint32(modeler.Stream))), Prompt: modeler.Tokens(r.GetPrompt()), Output: modeler.Tokens(r.GetOutput()),
+		Arrived: now.Add(-microseconds(r.GetAge())), Due: now.Add(microseconds(r.GetDue())), Deadline: now.Add(microseconds(r.GetDeadline())),
+		Gap: microseconds(r.GetGap()), Priority: int(r.GetPriority()), Fingerprint: modeler.Fingerprint(r.GetFingerprint()), Tried: tried,
+		DataCentre: modeler.DataCentreID(r.GetDataCentre()), Resumed: r.GetResumed(),
+	}
+}
+
+// decodePlan names endpoints by id only; the receiver knows their addresses from the store.
+func decodePlan(p *Plan) modeler.Plan {
+	plan := modeler.Plan{
+		Endpoint: modeler.Endpoint{ID: modeler.EndpointID(p.GetEndpoint())}, Part: microseconds(p.GetPart()), First: microseconds(p.GetFirst()),
+	}
+	for _, h := range p.GetHelpers() {
+		plan.Helpers = append(plan.Helpers, modeler.Endpoint{ID: modeler.EndpointID(h)})
+	}
+	return plan
+}
+
+func decodeNode(n *Node) modeler.Node {
+	return modeler.Node{
+		ID: modeler.NodeID(n.GetId()), Incarnation: n.GetIncarnation(), Rank: n.GetRank(), PeerAddress: n.GetPeerAddress(),
+		CallerAddress: n.GetCallerAddress(), DataCentre: modeler.DataCentreID(n.GetDataCentre()), Region: n.GetRegion(), Leaving: n.GetLeaving(),
+	}
+}
+
+func decodeBeat(now time.Time, b *Beat) modeler.Beat {
+	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), Ends: [2]int64{b.GetOperatorsEnd(), b.GetEndpointsEnd()}}
+	for _, a := range b.GetRunning() {
+		assignment := modeler.Assignment{
+			Request: decodeRequest(now, a.GetRequest()), Plan: decodePlan(a.GetPlan()), Placed: now.Add(-microseconds(a.GetAge())),
+		}
+		if a.GetStarted() {
+			assignment = assignment.WithStarted(now)
+		}
+		beat.Running = append(beat.Running, assignment)
+	}
+	return beat
+}
+
+func decodeDigest(d *Digest) modeler.Digest {
+	digest := modeler.Digest{Loads: make(map[modeler.EndpointID]modeler.LoadSummary, len(d.GetLoads()))}
+	for _, n := range d.GetAlive() {
+		digest.Alive = append(digest.Alive, decodeNode(n))
+	}
+	for _, l := range d.GetLoads() {
+		digest.Loads[modeler.EndpointID(l.GetEndpoint())] = modeler.LoadSummary{
+			Running: int(l.GetRunning()), Memory: modeler.Tokens(l.GetMemory()), Backlog: microseconds(l.GetBacklog()), Gap: microseconds(l.GetGap()),
+		}
+	}
+	for _, f := range d.GetQuarantined() {
+		digest.Quarantined = append(digest.Quarantined, modeler.Fingerprint(f))
+	}
+	return digest
+}
--- /dev/null
+++ b/internal/fleet/messenger/encode.go
@@ -0,0 +1,89 @@
+package messenger
+
+import (
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// encode turns a message into its wire form. Times become durations relative to now.
+func encode(now time.Time, message modeler.Message) *Datagram {
+	d := &Datagram{From: string(message.From), Incarnation: message.Incarnation}
+	switch body := message.Body.(type) {
+	case modeler.Ask:
+		d.Body = &Datagram_Ask{Ask: &Ask{Request: encodeRequest(now, body.Request)}}
+	case modeler.Queued:
+		d.Body = &Datagram_Queued{Queued: string(body.ID)}
+	case modeler.Granted:
+		d.Body = &Datagram_Granted{Granted: &Granted{
+			Id: string(body.ID), Plan: encodePlan(body.Decision.Plan), Refused: body.Decision.Refused,
+			Reason: string(body.Decision.Reason), RetryAfter: body.Decision.RetryAfter.Microseconds(),
+		}}
+	case modeler.Started:
+		d.Body = &Datagram_Started{Started: string(body.ID)}
+	case modeler.Ended:
+		d.Body = &Datagram_Ended{Ended: &Ended{
+			Id: string(body.ID), Endpoint: string(body.Endpoint), Outcome: uint32(body.Outcome), Fingerprint: uint64(body.Fingerprint),
+		}}
+	case modeler.Beat:
+		d.Body = &Datagram_Beat{Beat: encodeBeat(now, body)}
+	case modeler.Digest:
+		d.Body = &Datagram_Digest{Digest: encodeDigest(body)}
+	}
+	return d
+}
+
+func encodeRequest(now time.Time, r modeler.Request) *Request {
+	tried := make([]string, 0, len(r.Tried))
+	for _, e := range r.Tried {
+		tried = append(tried, string(e))
+	}
+	return &Request{
+		Id: string(r.ID), Node: string(r.Node), Service: string(r.Service), Kind: uint32(r.Kind),
+		Prompt: int64(r.Prompt), Output: int64(r.Output),
+		Age: now.Sub(r.Arrived).Microseconds(), Due: r.Due.Sub(now).Microseconds(), Deadline: r.Deadline.Sub(now).Microseconds(),
+		Gap: r.Gap.Microseconds(), Priority: int32(r.Priority), Fingerprint: uint64(r.Fingerprint), Tried: tried,
+		DataCentre: string(r.DataCentre), Resumed: r.Resumed,
+	}
+}
+
+func encodePlan(p modeler.Plan) *Plan {
+	helpers := make([]string, 0, len(p.Helpers))
+	for _, h := range p.Helpers {
+		helpers = append(helpers, string(h.ID))
+	}
+	return &Plan{Endpoint: string(p.Endpoint.ID), Helpers: helpers, Part: p.Part.Microseconds(), First: p.First.Microseconds()}
+}
+
+func encodeNode(n modeler.Node) *Node {
+	return &Node{
+		Id: string(n.ID), Incarnation: n.Incarnation, Rank: n.Rank, PeerAddress: n.PeerAddress, CallerAddress: n.CallerAddress,
+		DataCentre: string(n.DataCentre), Region: n.Region, Leaving: n.Leaving,
+	}
+}
+
+func encodeBeat(now time.Time, body modeler.Beat) *Beat {
+	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates, OperatorsEnd: body.Ends[0], EndpointsEnd: body.Ends[1]}
+	for _, a := range body.Running {
+		beat.Running = append(beat.Running, &Assignment{
+			Request: encodeRequest(now, a.Request), Plan: encodePlan(a.Plan), Age: now.Sub(a.Placed).Microseconds(), Started: !a.Started.IsZero(),
+		})
+	}
+	return beat
+}
+
+func encodeDigest(body modeler.Digest) *Digest {
+	digest := &Digest{}
+	for _, n := range body.Alive {
+		digest.Alive = append(digest.Alive, encodeNode(n))
+	}
+	for id, l := range body.Loads {
+		digest.Loads = append(digest.Loads, &Load{
+			Endpoint: string(id), Running: int32(l.Running), Memory: int64(l.Memory), Backlog: l.Backlog.Microseconds(), Gap: l.Gap.Microseconds(),
+		})
+	}
+	for _, f := range body.Quarantined {
+		digest.Quarantined = append(digest.Quarantined, uint64(f))
+	}
+	return digest
+}
--- /dev/null
+++ b/internal/fleet/modeler/endpoint.go
@@ -0,0 +1,88 @@
+package modeler
+
+import "time"
+
+// Endpoint is the row of one start of a model engine or plain service.
+type Endpoint struct {
+	ID         EndpointID
+	Service    ServiceID
+	Address    string
+	DataCentre DataCentreID
+	// Slots is the number of requests that the endpoint runs at once.
+	Slots int
+	// Draining endpoints get no new work.
+	Draining bool
+	// ColdUntil is when the endpoint sustains full load.
+	ColdUntil time.Time
+	// Born is the start of the endpoint's process in Unix milliseconds, as the endpoint reports it.
+	Born int64
+	// Sequence is the endpoint's count of orders.
+	Sequence int64
+	// MissingSince is set while the entry has vanished from the store and the store itself was disturbed.
+	MissingSince time.Time
+}
+
+// WithDraining returns the row of an endpoint that gets no new work.
+func (e Endpoint) WithDraining() Endpoint {
+	e.Draining = true
+	return e
+}
+
+// WithMissing returns the row of an endpoint whose entry vanished at that time; zero when it is back.
+func (e Endpoint) WithMissing(since time.Time) Endpoint {
+	e.MissingSince = since
+	return e
+}
+
+// Cold tells whether the endpoint is in cold start.
+func (e Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
+
+// Health is what the answers of an endpoint say about it.
+type Health struct {
+	// Failures counts failures since the last success.
+	Failures int
+	// AvoidUntil is when the endpoint is tried again.
+	AvoidUntil time.Time
+	// FailureRate is a moving average over answers, from 0 to 1.
+	FailureRate float64
+	// Misdirected is set when another endpoint answered at the address. It stays until the endpoint's entry changes.
+	Misdirected bool
+}
+
+const (
+	// failureWeight is the weight of the newest answer in FailureRate: about 8 answers decide it.
+	failureWeight = 0.12
+	// firstAvoidance is how long an endpoint is left alone after its first failure to answer, doubled with each further one.
+	firstAvoidance = 500 * time.Millisecond
+	// maxAvoidance bounds the doubling, so that an endpoint that is back gets work within seconds.
+	maxAvoidance = 4 * time.Second
+)
+
+// WithSuccess returns the health after an answer.
+func (h Health) WithSuccess() Health {
+	h.Failures = 0
+	h.AvoidUntil = time.Time{}
+	h.FailureRate *= 1 - failureWeight
+	return h
+}
+
+// WithError returns the health after an answer that reports a failure. The endpoint is alive.
+func (h Health) WithError() Health {
+	h.Failures = 0
+	h.FailureRate = h.FailureRate*(1-failureWeight) + failureWeight
+	return h
+}
+
+// WithSilence returns the health after a connection that failed or fell silent.
+func (h Health) WithSilence(now time.Time) Health {
+	h.Failures++
+	h.FailureRate = h.FailureRate*(1-failureWeight) + failureWeight
+	h.AvoidUntil = now.Add(min(firstAvoidance<<min(h.Failures-1, 8), maxAvoidance))
+	return h
+}
+
+// WithMisdirected returns the health of an endpoint whose address belongs to another one.
+func (h Health) WithMisdirected() Health {
+	h.Misdirected = true
+	return h
+}
--- /dev/null
+++ b/internal/fleet/modeler/request.go
@@ -0,0 +1,109 @@
+package modeler
+
+import (
+	"slices"
+	"time"
+)
+
+// Request is what placement knows of a caller's request.
+type Request struct {
+	ID      RequestID
+	Node    NodeID
+	Service ServiceID
+	Kind    Kind
+	// Prompt and Output are the sizes that the caller states. They are zero for plain services.
+	Prompt, Output Tokens
+	// Arrived is on the clock of the node that holds the row.
+	Arrived time.Time
+	// Due is when the first answer is late.
+	Due time.Time
+	// Deadline is when the caller or the route gives up.
+	Deadline time.Time
+	// Gap is the longest pause between events that is on time.
+	Gap         time.Duration
+	Priority    int
+	Fingerprint Fingerprint
+	// Tried holds the endpoints that failed this request. It must not be changed.
+	Tried []EndpointID
+	// DataCentre is that of the node that asks.
+	DataCentre DataCentreID
+	// Resumed requests have delivered events already.
+	Resumed bool
+}
+
+// WithTried returns the request with one more endpoint that failed it.
+func (r Request) WithTried(e EndpointID) Request {
+	r.Tried = append(slices.Clone(r.Tried), e)
+	return r
+}
+
+// Total is the memory that the request may need.
+func (r Request) Total() Tokens { return r.Prompt + r.Output }
+
+// Assignment is a request that runs on an endpoint.
+type Assignment struct {
+	Request Request
+	Plan    Plan
+	// Placed is when the plan was made.
+	Placed time.Time
+	// Started is when the first event came; zero before.
+	Started time.Time
+	// Seen is when the node that serves the request last reported it.
+	Seen time.Time
+}
+
+// WithStarted returns the assignment after its first event.
+func (a Assignment) WithStarted(at time.Time) Assignment {
+	a.Started = at
+	return a
+}
+
+// WithSeen returns the assignment after a report of its node.
+func (a Assignment) WithSeen(at time.Time) Assignment {
+	a.Seen = at
+	return a
+}
+
+// Plan says where a request runs.
+type Plan struct {
+	Endpoint Endpoint
+	// Helpers process a part of the prompt each. It must not be changed.
+	Helpers []Endpoint
+	// Part is the time that each engine of the plan needs for its part of the prompt.
+	Part time.Duration
+	// First is the expected time from placement to the first event.
+	First time.Duration
+}
+
+// Engines returns the endpoints that process the prompt.
+func (p Plan) Engines() []Endpoint { return append([]Endpoint{p.Endpoint}, p.Helpers...) }
+
+// Decision answers a request for a place.
+type Decision struct {
+	Plan Plan
+	// Refused is set if the request gets no endpoint.
+	Refused bool
+	// Reason is a stable word for logs and metrics.
+	Reason RefusalReason
+	// RetryAfter is when a new attempt may succeed.
+	RetryAfter time.Duration
+}
+
+// RefusalReason says why a request got no endpoint.
+type RefusalReason string
+
+// Reasons of refusals.
+const (
+	// ReasonNoEndpoint: no endpoint of the service is in service.
+	ReasonNoEndpoint RefusalReason = "NoEndpoint"
+	// ReasonOverloaded: no endpoint becomes free in time.
+	ReasonOverloaded RefusalReason = "Overloaded"
+	// ReasonTooLarge: the request exceeds the memory of an engine.
+	ReasonTooLarge RefusalReason = "TooLarge"
+	// ReasonQuarantined: the request crashed endpoints.
+	ReasonQuarantined RefusalReason = "Quarantined"
+	// ReasonBudget: the budget for repeats is used up.
+	ReasonBudget RefusalReason = "RetryBudget"
+	// ReasonNoConfiguration: the node knows no configuration yet.
+	ReasonNoConfiguration RefusalReason = "NoConfiguration"
+)
--- /dev/null
+++ b/internal/fleet/observer/observer.go
@@ -0,0 +1,142 @@
+// Package observer writes the log and the metrics of a node: one line for each decision that touches a request or changes what the node
+// believes, and counters without a label per request, member or endpoint.
+package observer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"damaskpick.example/damaskpick/internal/fleet/forwarder"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// Options configure an Observer.
+type Options struct {
+	// Events takes lines about failed or slow requests and changes of belief, Requests those of ordinary requests.
+	Events, Requests zerolog.Logger
+	// Snapshot is the source of gauges.
+	Snapshot func() *modeler.Snapshot
+	// Dialed returns the number of connections opened to endpoints, PeerFailures that of messages that were not sent or read.
+	Dialed, PeerFailures func() int64
+}
+
+// Observer is safe for concurrent use.
+type Observer struct {
+	options Options
+	set     *metrics.Set
+}
+
+// New returns an observer.
+func New(options Options) *Observer {
+	o := &Observer{options: options, set: metrics.NewSet()}
+	snapshot := options.Snapshot
+	o.set.NewGauge("damaskpick_configuration_version", func() float64 { return float64(snapshot().Configuration.Version) })
+	o.set.NewGauge("damaskpick_operators_age_seconds", func() float64 { return snapshot().OperatorsAge.Seconds() })
+	o.set.NewGauge("damaskpick_endpoints_age_seconds", func() float64 { return snapshot().EndpointsAge.Seconds() })
+	o.set.NewGauge("damaskpick_endpoints", func() float64 { return float64(len(snapshot().Endpoints)) })
+	o.set.NewGauge("damaskpick_nodes_alive", func() float64 { return float64(len(snapshot().Alive)) })
+	o.set.NewGauge("damaskpick_coordinates", func() float64 {
+		if s := snapshot(); s.Coordinator == s.Self.ID {
+			return 1
+		}
+		return 0
+	})
+	o.set.NewGauge("damaskpick_waiting", func() float64 { return float64(snapshot().Waiting) })
+	o.set.NewGauge("damaskpick_endpoint_connections_opened_total", func() float64 { return float64(options.Dialed()) })
+	o.set.NewGauge("damaskpick_peer_failures_total", func() float64 { return float64(options.PeerFailures()) })
+	return o
+}
+
+// ServeHTTP serves the metrics in the Prometheus text format.
+func (o *Observer) ServeHTTP(w http.ResponseWriter, _ *http.Request) { o.set.WritePrometheus(w) }
+
+// Note writes a line of the control goroutine.
+func (o *Observer) Note(note modeler.Note) {
+	o.set.GetOrCreateCounter(`damaskpick_decisions_total{event="` + note.Name + `"}`).Inc()
+	log := o.options.Events
+	if note.Name == "Placed" {
+		log = o.options.Requests
+	}
+	line := log.Info()
+	if note.Request != "" {
+		line = line.Str("Request", string(note.Request))
+	}
+	for _, field := range note.Fields {
+		line = addField(line, field)
+	}
+	line.Msg(note.Name)
+}
+
+func addField(line *zerolog.Event, field modeler.Field) *zerolog.Event {
+	switch value := field.Value.(type) {
+	case string:
+		return line.Str(field.Key, value)
+	case time.Duration:
+		return line.Str(field.Key, value.Round(100*time.Microsecond).String())
+	case bool:
+		return line.Bool(field.Key, value)
+	case int:
+		return line.Int(field.Key, value)
+	case int64:
+		return line.Int64(field.Key, value)
+	case modeler.Tokens:
+		return line.Int64(field.Key, int64(value))
+	case float64:
+		return line.Float64(field.Key, value)
+	default:
+		return line.Interface(field.Key, value)
+	}
+}
+
+// Retried writes a line for an attempt that is followed by another one.
+func (o *Observer) Retried(call forwarder.Call, attempt int, last modeler.Outcome, endpoint modeler.EndpointID) {
+	o.set.GetOrCreateCounter(`damaskpick_retries_total{outcome="` + last.String() + `"}`).Inc()
+	o.options.Events.Info().Str("Request", string(call.Fields.ID)).Int("Attempt", attempt).Str("Outcome", last.String()).
+		Str("Endpoint", string(endpoint)).Dur("Age", time.Since(call.Arrived)).Msg("AttemptRepeated")
+}
+
+// Ended writes a line for a request.
+func (o *Observer) Ended(call forwarder.Call, r forwarder.Result) {
+	kind := call.Route.Kind.String()
+	o.set.GetOrCreateCounter(`damaskpick_requests_total{kind="` + kind + `",status="` + r.Status.String() + `"}`).Inc()
+	late := r.First > call.Route.Target
+	if r.First > 0 {
+		o.set.GetOrCreateHistogram(`damaskpick_first_seconds{kind="` + kind + `"}`).Update(r.First.Seconds())
+	}
+	log := o.options.Requests
+	if late || r.Status != forwarder.Delivered || r.Code >= http.StatusInternalServerError {
+		log = o.options.Events
+	}
+	line := log.Info().Str("Request", string(call.Fields.ID)).Str("Route", call.Route.Name).Str("Status", r.Status.String()).
+		Int("Code", r.Code).Str("Endpoint", string(r.Endpoint)).Int("Helpers", r.Helpers).Int("Attempts", r.Attempts).
+		Str("Last", r.Last.String()).Int64("Prompt", int64(call.Fields.Prompt)).
+		Dur("First", r.First).Dur("Took", time.Since(call.Arrived)).Bool("Late", late)
+	if r.Reason != "" {
+		line = line.Str("Reason", string(r.Reason)).Dur("RetryAfter", r.RetryAfter)
+	}
+	line.Msg("RequestEnded")
+}
+
+// Rejected writes a line for a request that reached no route.
+func (o *Observer) Rejected(id modeler.RequestID, code int, version int64, age time.Duration) {
+	o.set.GetOrCreateCounter(`damaskpick_rejected_total{code="` + http.StatusText(code) + `"}`).Inc()
+	o.options.Events.Info().Str("Request", string(id)).Int("Code", code).Int64("Version", version).Dur("ConfigurationAge", age).Msg("RequestRejected")
+}
+
+// Unreadable writes a line for a record of the store that cannot be decoded.
+func (o *Observer) Unreadable(topic modeler.Topic, record modeler.Record, err error) {
+	o.set.GetOrCreateCounter(`damaskpick_unreadable_records_total{topic="` + topic.String() + `"}`).Inc()
+	o.options.Events.Warn().Str("Topic", topic.String()).Str("Key", record.Key).Int64("Offset", record.Offset).Err(err).Msg("RecordUnreadable")
+}
+
+// Lifecycle writes a line for the start, stop or reload of the process.
+func (o *Observer) Lifecycle(name string, fields ...modeler.Field) {
+	line := o.options.Events.Info()
+	for _, field := range fields {
+		line = addField(line, field)
+	}
+	line.Msg(name)
+}
--- /dev/null
+++ b/internal/fleet/placer/decide.go
@@ -0,0 +1,141 @@
+package placer
+
+import (
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+const (
+	// placeAtOnce is the cost, as a part of the request's weight, below which nothing is gained by waiting.
+	placeAtOnce = 0.2
+	// acceptableHarm is the harm, as a part of the request's weight, that a request does which cannot wait any longer.
+	acceptableHarm = 0.6
+	// waitPart is the part of the time until the deadline after which a request that found no place is refused. Earlier, a caller that
+	// comes back finds the same load; later, it has no time left for another attempt.
+	waitPart = 0.45
+	// waitSlack is the part of the time until a request is late that it may wait for a place without harm.
+	waitSlack = 0.8
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// decide returns a decision, or false if the request goes on waiting.
+func (s *System) decide(tick *modeler.Tick, world *modeler.World, row modeler.Waiting) (modeler.Decision, bool) {
+	request := row.Request
+	if !world.Configuration.Known() {
+		return refusal(modeler.ReasonNoConfiguration, minRetryAfter), true
+	}
+	service, ok := world.Configuration.Service(request.Service)
+	if !ok {
+		return refusal(modeler.ReasonNoEndpoint, maxRetryAfter), true
+	}
+	if strikes, _ := world.Strikes.Get(request.Fingerprint); strikes.Quarantined(tick.Now) {
+		return refusal(modeler.ReasonQuarantined, maxRetryAfter), true
+	}
+	if service.IsEngine() && service.Engine.Memory > 0 && request.Total() > service.Engine.Memory {
+		return refusal(modeler.ReasonTooLarge, maxRetryAfter), true
+	}
+	candidates := s.candidates(tick.Now, world, service, request)
+	proposal, found := s.propose(tick.Now, service, request, candidates)
+	if found && acceptable(tick.Now, request, proposal) && s.takeCold(tick.Now, world, service, proposal) {
+		return modeler.Decision{Plan: proposal.Plan}, true
+	}
+	if s.waitedEnough(tick.Now, request) {
+		if found && s.takeCold(tick.Now, world, service, proposal) {
+			// Nothing better came. An answer that is late is worth more than none.
+			return modeler.Decision{Plan: proposal.Plan}, true
+		}
+		if len(candidates) == 0 {
+			return refusal(modeler.ReasonNoEndpoint, minRetryAfter), true
+		}
+		return refusal(modeler.ReasonOverloaded, retryAfter(tick.Now, request)), true
+	}
+	return modeler.Decision{}, false
+}
+
+func refusal(reason modeler.RefusalReason, after time.Duration) modeler.Decision {
+	return modeler.Decision{Refused: true, Reason: reason, RetryAfter: after}
+}
+
+// retryAfter leaves the caller the time for a second attempt.
+func retryAfter(now time.Time, request modeler.Request) time.Duration {
+	return min(max(request.Deadline.Sub(now)/4, minRetryAfter), maxRetryAfter)
+}
+
+func (s *System) waitedEnough(now time.Time, request modeler.Request) bool {
+	total := request.Deadline.Sub(request.Arrived)
+	return now.Sub(request.Arrived) >= time.Duration(waitPart*float64(total))
+}
+
+// acceptable tells whether a proposal is taken at once. Otherwise a better one may come before the request is late.
+func acceptable(now time.Time, request modeler.Request, proposal Proposal) bool {
+	worth := weight(request)
+	if proposal.Harm+proposal.Loss <= placeAtOnce*worth {
+		return true
+	}
+	left := request.Due.Sub(now)
+	if left > 0 && proposal.Plan.First < time.Duration(waitSlack*float64(left)) {
+		return false
+	}
+	return proposal.Harm <= acceptableHarm*worth
+}
+
+func (s *System) propose(now time.Time, service modeler.Service, request modeler.Request, candidates []Candidate) (Proposal, bool) {
+	if service.IsEngine() {
+		return Choose(LengthAware{Profile: service.Engine, MaxEngines: maxEngines}, now, request, candidates)
+	}
+	return Choose(LeastBusy{}, now, request, candidates)
+}
+
+// inService tells whether an endpoint may get new work.
+func (s *System) inService(world *modeler.World, endpoint modeler.Endpoint, now time.Time) bool {
+	if endpoint.Draining {
+		return false
+	}
+	if _, out := world.Out.Get(endpoint.DataCentre); out {
+		return false
+	}
+	health, _ := world.Health.Get(endpoint.ID)
+	return !health.Misdirected && !now.Before(health.AvoidUntil)
+}
+
+func (s *System) candidates(now time.Time, world *modeler.World, service modeler.Service, request modeler.Request) []Candidate {
+	var candidates []Candidate
+	for id, endpoint := range world.Endpoints.All() {
+		if endpoint.Service != service.ID || !s.inService(world, endpoint, now) || contains(request.Tried, id) {
+			continue
+		}
+		if !s.cold.allows(now, endpoint, s.coldLimit(world, service)) {
+			continue
+		}
+		health, _ := world.Health.Get(id)
+		candidates = append(candidates, Candidate{
+			Endpoint: endpoint, Load: loadOf(world, id, service.Engine, now), FailureRate: health.FailureRate,
+			Near: endpoint.DataCentre == request.DataCentre,
+		})
+	}
+	return candidates
+}
+
+func contains(list []modeler.EndpointID, id modeler.EndpointID) bool {
+	for _, e := range list {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+// coldLimit returns the requests per second that this node may send to a cold endpoint of the service; negative means no limit.
+func (s *System) coldLimit(world *modeler.World, service modeler.Service) float64 {
+	if service.ColdRate <= 0 {
+		return -1
+	}
+	return s.share(world, service.ColdRate*s.options.ColdFactor+s.options.ColdSlack)
+}
+
+func (s *System) takeCold(now time.Time, world *modeler.World, service modeler.Service, proposal Proposal) bool {
+	return s.cold.take(now, proposal.Plan.Endpoint, s.coldLimit(world, service))
+}
--- /dev/null
+++ b/internal/fleet/watcher/watcher.go
@@ -0,0 +1,101 @@
+// Package watcher judges endpoints and requests by how attempts ended. It sends no probes: they cost as much as requests.
+package watcher
+
+import (
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// forgetStrikes is how long a broken attempt counts against a fingerprint.
+const forgetStrikes = 2 * time.Minute
+
+// System keeps Health and Strikes, and removes assignments that ended.
+type System struct{ nextSweep time.Time }
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run implements modeler.System.
+func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
+	for _, event := range tick.Events {
+		switch e := event.(type) {
+		case modeler.AttemptEnded:
+			s.ended(tick, world, e)
+		case modeler.PeerReceived:
+			switch body := e.Message.Body.(type) {
+			case modeler.Ended:
+				world.Unassign(body.ID)
+				judge(tick, world, body)
+			case modeler.Digest:
+				for _, fingerprint := range body.Quarantined {
+					strikes, _ := world.Strikes.Get(fingerprint)
+					if !strikes.Quarantined(tick.Now) {
+						world.Strikes.Put(fingerprint, strikes.WithQuarantine(tick.Now))
+					}
+				}
+			}
+		}
+	}
+	s.sweep(tick, world)
+}
+
+func (s *System) ended(tick *modeler.Tick, world *modeler.World, e modeler.AttemptEnded) {
+	assignment, ok := world.Assignments.Get(e.ID)
+	if !ok {
+		return
+	}
+	world.Unassign(e.ID)
+	ended := modeler.Ended{
+		ID: e.ID, Endpoint: assignment.Plan.Endpoint.ID, Outcome: e.Outcome, Fingerprint: assignment.Request.Fingerprint,
+	}
+	judge(tick, world, ended)
+	if coordinator, ok := world.Nodes.Get(world.Coordinator); ok {
+		tick.Emit(modeler.Send{To: coordinator, Message: modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: ended}})
+	}
+}
+
+// judge updates the health of the endpoint and the strikes of the request.
+func judge(tick *modeler.Tick, world *modeler.World, e modeler.Ended) {
+	if _, ok := world.Endpoints.Get(e.Endpoint); !ok {
+		return
+	}
+	before, _ := world.Health.Get(e.Endpoint)
+	health := before
+	switch e.Outcome {
+	case modeler.Answered:
+		health = health.WithSuccess()
+	case modeler.Abandoned, modeler.Shed:
+		return
+	case modeler.Failed, modeler.Garbled:
+		health = health.WithError()
+	case modeler.Misdirected:
+		health = health.WithMisdirected()
+	case modeler.Broken:
+		health = health.WithError()
+		strikes, _ := world.Strikes.Get(e.Fingerprint)
+		world.Strikes.Put(e.Fingerprint, strikes.WithStrike(tick.Now))
+	case modeler.Unreachable, modeler.Silent:
+		health = health.WithSilence(tick.Now)
+	}
+	world.Health.Put(e.Endpoint, health)
+	if health.AvoidUntil != before.AvoidUntil || health.Misdirected != before.Misdirected {
+		tick.Emit(modeler.Note{Name: "EndpointJudged", Request: e.ID, Fields: []modeler.Field{
+			{Key: "Endpoint", Value: string(e.Endpoint)}, {Key: "Outcome", Value: e.Outcome.String()}, {Key: "Failures", Value: health.Failures},
+			{Key: "FailureRate", Value: health.FailureRate}, {Key: "Misdirected", Value: health.Misdirected},
+		}})
+	}
+}
+
+// sweep forgets old strikes.
+func (s *System) sweep(tick *modeler.Tick, world *modeler.World) {
+	if tick.Now.Before(s.nextSweep) {
+		return
+	}
+	s.nextSweep = tick.Now.Add(forgetStrikes / 4)
+	for fingerprint, strikes := range world.Strikes.All() {
+		if tick.Now.Sub(strikes.At) > forgetStrikes {
+			world.Strikes.Delete(fingerprint)
+		}
+	}
+}
