Judge silence by life, bound late reads, release the time of reads that ended

Ruled out: the estimates themselves: the median error of the first event was 18 ms for short and 15 ms for long prompts. Change: silence counts only without a sign of life; failure rates halve in 3 s; World.Unassign releases reading time; a plan whose first event comes after 0.85 of the caller's patience is not taken; late reads get 13 in 100 of the engines.

--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -17,10 +17,9 @@
 	// answerLimit bounds the answer of a plain service that is kept in memory until it is whole.
 	answerLimit = 8 << 20
 	// silencePart is how many times longer than expected the first event of a stream may take before the engine counts as silent.
-	silencePart = 2
-	// minSilence is the shortest such time: an engine whose helper died stalls for 1.5 s and then says so, and callers of short prompts
-	// leave after 2 s.
-	minSilence = 1100 * time.Millisecond
+	silencePart = 1.5
+	// minSilence is the shortest such time. Shorter times sent requests of loaded engines twice; callers of short prompts leave after 2 s.
+	minSilence = 1300 * time.Millisecond
 	// silenceTargets is how many objectives a safe call may take before it is sent to another endpoint.
 	silenceTargets = 2.5
 )
@@ -107,7 +106,7 @@
 	}
 	limit := time.Duration(silenceTargets * float64(p.call.Route.Target))
 	if p.call.Route.Kind == modeler.Stream {
-		limit = max(minSilence, silencePart*plan.First+minSilence/2)
+		limit = minSilence + time.Duration(silencePart*float64(plan.First))
 	}
 	return max(min(limit, left), time.Millisecond)
 }
--- a/internal/fleet/modeler/endpoint.go
+++ b/internal/fleet/modeler/endpoint.go
@@ -1,6 +1,9 @@
 package modeler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Endpoint is the row of one start of a model engine or plain service.
 type Endpoint struct {
@@ -43,8 +46,11 @@
 	Failures int
 	// AvoidUntil is when the endpoint is tried again.
 	AvoidUntil time.Time
-	// FailureRate is a moving average over answers, from 0 to 1.
-	FailureRate float64
+	// failureRate is a moving average over answers, from 0 to 1, as of judgedAt.
+	failureRate float64
+	judgedAt    time.Time
+	// LivedAt is when an event or an answer last came.
+	LivedAt time.Time
 	// Misdirected is set when another endpoint answered at the address. It stays until the endpoint's entry changes.
 	Misdirected bool
 }
@@ -52,31 +58,46 @@
 const (
 	// failureWeight is the weight of the newest answer in FailureRate: about 8 answers decide it.
 	failureWeight = 0.12
+	// failureHalfLife is the time in which half of a failure rate is forgotten: a few seconds show whether an endpoint still fails.
+	failureHalfLife = 3 * time.Second
 	// firstAvoidance is how long an endpoint is left alone after its first failure to answer, doubled with each further one.
 	firstAvoidance = 500 * time.Millisecond
 	// maxAvoidance bounds the doubling, so that an endpoint that is back gets work within seconds.
 	maxAvoidance = 4 * time.Second
 )
 
-// WithSuccess returns the health after an answer.
-func (h Health) WithSuccess() Health {
-	h.Failures = 0
-	h.AvoidUntil = time.Time{}
-	h.FailureRate *= 1 - failureWeight
+// FailureRate returns the share of recent answers that failed. It fades, because an endpoint that is left alone for its failures gives no
+// answers that could clear it.
+func (h Health) FailureRate(now time.Time) float64 {
+	if h.failureRate == 0 {
+		return 0
+	}
+	return h.failureRate * math.Exp2(-float64(now.Sub(h.judgedAt))/float64(failureHalfLife))
+}
+
+// judged returns the health with one more answer in the moving average.
+func (h Health) judged(now time.Time, failed float64) Health {
+	h.failureRate = h.FailureRate(now)*(1-failureWeight) + failureWeight*failed
+	h.judgedAt = now
 	return h
 }
 
-// WithError returns the health after an answer that reports a failure. The endpoint is alive.
-func (h Health) WithError() Health {
-	h.Failures = 0
-	h.FailureRate = h.FailureRate*(1-failureWeight) + failureWeight
+// WithLife returns the health after a sign of life.
+func (h Health) WithLife(now time.Time) Health {
+	h.Failures, h.AvoidUntil, h.LivedAt = 0, time.Time{}, now
 	return h
 }
 
+// WithSuccess returns the health after an answer.
+func (h Health) WithSuccess(now time.Time) Health { return h.judged(now, 0).WithLife(now) }
+
+// WithError returns the health after an answer that reports a failure. The endpoint is alive.
+func (h Health) WithError(now time.Time) Health { return h.judged(now, 1).WithLife(now) }
+
 // WithSilence returns the health after a connection that failed or fell silent.
 func (h Health) WithSilence(now time.Time) Health {
+	h = h.judged(now, 1)
 	h.Failures++
-	h.FailureRate = h.FailureRate*(1-failureWeight) + failureWeight
 	h.AvoidUntil = now.Add(min(firstAvoidance<<min(h.Failures-1, 8), maxAvoidance))
 	return h
 }
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -73,6 +73,8 @@
 	Part time.Duration
 	// First is the expected time from placement to the first event.
 	First time.Duration
+	// Late is set if the request is late already when it is placed. Late reads get a bounded part of the engines.
+	Late bool
 }
 
 // Engines returns the endpoints that process the prompt.
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -72,7 +72,12 @@
 
 // Assign inserts an assignment and its index entries.
 func (w *World) Assign(a Assignment) {
-	w.Unassign(a.Request.ID)
+	if old, ok := w.Assignments.Get(a.Request.ID); ok {
+		for _, e := range old.Plan.Engines() {
+			w.ByEndpoint.Remove(e.ID, a.Request.ID)
+		}
+		w.ByNode.Remove(old.Request.Node, a.Request.ID)
+	}
 	w.Assignments.Put(a.Request.ID, a)
 	w.ByNode.Add(a.Request.Node, a.Request.ID)
 	w.ByEndpoint.Add(a.Plan.Endpoint.ID, a.Request.ID)
@@ -93,7 +98,33 @@
 	w.ByNode.Remove(a.Request.Node, id)
 	for _, e := range a.Plan.Engines() {
 		w.ByEndpoint.Remove(e.ID, id)
+		if a.Started.IsZero() {
+			w.release(e.ID, a.Plan.Part)
+		}
+	}
+}
+
+// release takes reading work off an engine that will not be done.
+func (w *World) release(id EndpointID, part time.Duration) {
+	busy, ok := w.Busy.Get(id)
+	if !ok {
+		return
+	}
+	if !w.Reads(id) {
+		w.Busy.Delete(id)
+		return
+	}
+	w.Busy.Put(id, busy.Add(-part))
+}
+
+// Reads tells whether an engine processes a prompt, or a part of one.
+func (w *World) Reads(id EndpointID) bool {
+	for _, key := range w.ByEndpoint.Keys(id) {
+		if a, _ := w.Assignments.Get(key); a.Started.IsZero() {
+			return true
+		}
 	}
+	return false
 }
 
 // Tick is the input and output of one run of all systems.
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -11,11 +11,20 @@
 	placeAtOnce = 0.2
 	// acceptableHarm is the harm, as a part of the request's weight, that a request does which cannot wait any longer.
 	acceptableHarm = 0.6
+	// onTimeMargin is how many times its expected duration a request that would be on time must have left to go on waiting.
+	onTimeMargin = 1.5
+	// longPart is the reading that counts as long for the limit on late reads.
+	longPart = 300 * time.Millisecond
+	// lateEngines is the part of the engines that late reads may occupy, and idleEngines the part that must stay idle beyond it.
+	lateEngines = 0.13
+	idleEngines = 0.3
 	// waitPart is the part of the time until the deadline after which a request that found no place is refused. Earlier, a caller that
 	// comes back finds the same load; later, it has no time left for another attempt.
 	waitPart = 0.45
-	// waitSlack is the part of the time until a request is late that it may wait for a place without harm.
-	waitSlack = 0.8
+	// spreadEngines and spreadMargin give the time in which a prompt can be read once engines become free. Until that time is all that is
+	// left, a request waits for a better place.
+	spreadEngines = 5
+	spreadMargin  = 150 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -39,7 +48,8 @@
 	}
 	candidates := s.candidates(tick.Now, world, service, request)
 	proposal, found := s.propose(tick.Now, service, request, candidates)
-	if found && acceptable(tick.Now, request, proposal) && s.takeCold(tick.Now, world, service, proposal) {
+	found = found && mayRunLate(world, proposal.Plan, candidates)
+	if found && acceptable(tick.Now, request, service.Engine.Reading(request.Prompt), proposal) && s.takeCold(tick.Now, world, service, proposal) {
 		return modeler.Decision{Plan: proposal.Plan}, true
 	}
 	if s.waitedEnough(tick.Now, request) {
@@ -70,18 +80,43 @@
 }
 
 // acceptable tells whether a proposal is taken at once. Otherwise a better one may come before the request is late.
-func acceptable(now time.Time, request modeler.Request, proposal Proposal) bool {
+func acceptable(now time.Time, request modeler.Request, reading time.Duration, proposal Proposal) bool {
 	worth := weight(request)
 	if proposal.Harm+proposal.Loss <= placeAtOnce*worth {
 		return true
 	}
 	left := request.Due.Sub(now)
-	if left > 0 && proposal.Plan.First < time.Duration(waitSlack*float64(left)) {
+	if proposal.Plan.Late {
+		// On idle engines the reading could be spread, and the request would still be on time.
+		if left > reading/spreadEngines+spreadMargin {
+			return false
+		}
+	} else if left > time.Duration(onTimeMargin*float64(proposal.Plan.First)) {
 		return false
 	}
 	return proposal.Harm <= acceptableHarm*worth
 }
 
+// mayRunLate tells whether a late plan may be carried out: late reads together get a part of the engines, unless others are idle.
+func mayRunLate(world *modeler.World, plan modeler.Plan, candidates []Candidate) bool {
+	if !plan.Late || plan.Part < longPart {
+		return true
+	}
+	late, idle := len(plan.Engines()), 0
+	for _, c := range candidates {
+		if c.Load.Running == 0 && c.Load.Backlog == 0 {
+			idle++
+		}
+		for _, id := range world.ByEndpoint.Keys(c.Endpoint.ID) {
+			if a, _ := world.Assignments.Get(id); a.Plan.Late && a.Plan.Part >= longPart && a.Started.IsZero() {
+				late++
+				break
+			}
+		}
+	}
+	return float64(late) <= lateEngines*float64(len(candidates)) || float64(idle-len(plan.Engines())) >= idleEngines*float64(len(candidates))
+}
+
 func (s *System) propose(now time.Time, service modeler.Service, request modeler.Request, candidates []Candidate) (Proposal, bool) {
 	if service.IsEngine() {
 		return Choose(LengthAware{Profile: service.Engine, MaxEngines: maxEngines}, now, request, candidates)
@@ -112,7 +147,7 @@
 		}
 		health, _ := world.Health.Get(id)
 		candidates = append(candidates, Candidate{
-			Endpoint: endpoint, Load: loadOf(world, id, service.Engine, now), FailureRate: health.FailureRate,
+			Endpoint: endpoint, Load: loadOf(world, id, service.Engine, now), FailureRate: health.FailureRate(now),
 			Near: endpoint.DataCentre == request.DataCentre,
 		})
 	}
--- a/internal/fleet/placer/load.go
+++ b/internal/fleet/placer/load.go
@@ -42,12 +42,18 @@
 // loadOf sums up the assignments of an endpoint. Without a fresh view of all nodes, the coordinator's last digest is a lower bound.
 func loadOf(world *modeler.World, endpoint modeler.EndpointID, profile modeler.EngineProfile, now time.Time) Load {
 	var load Load
+	if busy, ok := world.Busy.Get(endpoint); ok && busy.After(now) {
+		load.Backlog = busy.Sub(now)
+	}
 	for _, id := range world.ByEndpoint.Keys(endpoint) {
 		a, _ := world.Assignments.Get(id)
 		if a.Started.IsZero() {
-			load.readers = append(load.readers, reader{
-				first: a.Plan.First - now.Sub(a.Placed), due: a.Request.Due.Sub(now), weight: weight(a.Request),
-			})
+			first := a.Plan.First - now.Sub(a.Placed)
+			if a.Plan.Endpoint.ID == endpoint {
+				// Parts of other prompts that came later are processed before this one.
+				first = max(first, load.Backlog)
+			}
+			load.readers = append(load.readers, reader{first: first, due: a.Request.Due.Sub(now), weight: weight(a.Request)})
 		}
 		if a.Plan.Endpoint.ID != endpoint {
 			continue
@@ -59,9 +65,6 @@
 			load.Pass += profile.WriterPass(a.Request.Prompt)
 		}
 	}
-	if busy, ok := world.Busy.Get(endpoint); ok && busy.After(now) {
-		load.Backlog = busy.Sub(now)
-	}
 	if !world.Coordinates() {
 		load = load.withDigest(world, endpoint, now)
 	}
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -98,22 +98,12 @@
 	}
 	world.Assign(a.WithStarted(tick.Now))
 	for _, engine := range a.Plan.Engines() {
-		if !reads(world, engine.ID) {
+		if !world.Reads(engine.ID) {
 			world.Busy.Delete(engine.ID)
 		}
 	}
 }
 
-// reads tells whether the engine still processes a prompt.
-func reads(world *modeler.World, id modeler.EndpointID) bool {
-	for _, key := range world.ByEndpoint.Keys(id) {
-		if a, _ := world.Assignments.Get(key); a.Started.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *System) receive(tick *modeler.Tick, world *modeler.World, message modeler.Message) {
 	switch body := message.Body.(type) {
 	case modeler.Ask:
--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -111,6 +111,8 @@
 	packingGain = 0.01
 	// readyCost is the price of a second until an engine is done, in units of weight.
 	readyCost = 0.05
+	// patiencePart is the part of the time until the caller leaves in which the first event must be expected.
+	patiencePart = 0.85
 	// transit is the time of a request and its first event on the network.
 	transit = 6 * time.Millisecond
 	// minPart is the smallest part of a prompt that is worth an engine of its own.
@@ -138,6 +140,10 @@
 	found := false
 	for engines := 1; engines <= most; engines++ {
 		proposal, ok := p.propose(now, request, candidates, engines, reading/time.Duration(engines))
+		if proposal.Plan.First > time.Duration(patiencePart*float64(request.Deadline.Sub(now))) {
+			// The caller would have left.
+			continue
+		}
 		if ok && (!found || proposal.Harm+proposal.Loss < best.Harm+best.Loss) {
 			best, found = proposal, true
 		}
@@ -175,6 +181,7 @@
 		ready = max(ready, o.ready)
 	}
 	proposal.Plan.First = ready + transit
+	proposal.Plan.Late = proposal.Plan.First > request.Due.Sub(now)
 	proposal.Loss = weight(request) * lateness(proposal.Plan.First, request.Due.Sub(now))
 	return proposal, true
 }
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -10,6 +10,9 @@
 // forgetStrikes is how long a broken attempt counts against a fingerprint.
 const forgetStrikes = 2 * time.Minute
 
+// lifeTime is how long a sign of life speaks for an endpoint that was silent to one request: a few passes of a loaded engine.
+const lifeTime = 700 * time.Millisecond
+
 // System keeps Health and Strikes, and removes assignments that ended.
 type System struct{ nextSweep time.Time }
 
@@ -20,10 +23,14 @@
 func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
 	for _, event := range tick.Events {
 		switch e := event.(type) {
+		case modeler.AttemptStarted:
+			lived(tick, world, e.ID)
 		case modeler.AttemptEnded:
 			s.ended(tick, world, e)
 		case modeler.PeerReceived:
 			switch body := e.Message.Body.(type) {
+			case modeler.Started:
+				lived(tick, world, body.ID)
 			case modeler.Ended:
 				world.Unassign(body.ID)
 				judge(tick, world, body)
@@ -40,6 +47,14 @@
 	s.sweep(tick, world)
 }
 
+// lived notes the first event of an attempt as a sign of life of its endpoint.
+func lived(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) {
+	if a, ok := world.Assignments.Get(id); ok {
+		health, _ := world.Health.Get(a.Plan.Endpoint.ID)
+		world.Health.Put(a.Plan.Endpoint.ID, health.WithLife(tick.Now))
+	}
+}
+
 func (s *System) ended(tick *modeler.Tick, world *modeler.World, e modeler.AttemptEnded) {
 	assignment, ok := world.Assignments.Get(e.ID)
 	if !ok {
@@ -64,25 +79,31 @@
 	health := before
 	switch e.Outcome {
 	case modeler.Answered:
-		health = health.WithSuccess()
+		health = health.WithSuccess(tick.Now)
 	case modeler.Abandoned, modeler.Shed:
 		return
 	case modeler.Failed, modeler.Garbled:
-		health = health.WithError()
+		health = health.WithError(tick.Now)
 	case modeler.Misdirected:
 		health = health.WithMisdirected()
 	case modeler.Broken:
-		health = health.WithError()
+		health = health.WithError(tick.Now)
 		strikes, _ := world.Strikes.Get(e.Fingerprint)
 		world.Strikes.Put(e.Fingerprint, strikes.WithStrike(tick.Now))
-	case modeler.Unreachable, modeler.Silent:
+	case modeler.Unreachable:
+		health = health.WithSilence(tick.Now)
+	case modeler.Silent:
+		if tick.Now.Sub(health.LivedAt) < lifeTime {
+			// It answers others: the request was slow, not the endpoint dead.
+			return
+		}
 		health = health.WithSilence(tick.Now)
 	}
 	world.Health.Put(e.Endpoint, health)
 	if health.AvoidUntil != before.AvoidUntil || health.Misdirected != before.Misdirected {
 		tick.Emit(modeler.Note{Name: "EndpointJudged", Request: e.ID, Fields: []modeler.Field{
 			{Key: "Endpoint", Value: string(e.Endpoint)}, {Key: "Outcome", Value: e.Outcome.String()}, {Key: "Failures", Value: health.Failures},
-			{Key: "FailureRate", Value: health.FailureRate}, {Key: "Misdirected", Value: health.Misdirected},
+			{Key: "FailureRate", Value: health.FailureRate(tick.Now)}, {Key: "Misdirected", Value: health.Misdirected},
 		}})
 	}
 }
