Place requests that can still be on time first; wait longer before a stream counts as silent

Cause: in overload places went to requests that were late already, so that all were late; long reads were sent twice because a slow engine counted as silent; a service whose endpoints were all avoided refused everything. Ruled out: shorter silence limits, which repeat work on loaded engines. Change: the queue orders requests by whether they can be on time; silence allows for the objective; a time-out shorter than 2.5 objectives says nothing about an endpoint; endpoints that fell silent are used when no other is left.

--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -16,10 +16,16 @@
 const (
 	// answerLimit bounds the answer of a plain service that is kept in memory until it is whole.
 	answerLimit = 8 << 20
-	// silencePart is how many times longer than expected the first event of a stream may take before the engine counts as silent.
+	// silencePart is how many times longer than expected the first event of a stream may take, beyond its objective, before the engine
+	// counts as silent. Sending a long prompt twice costs more than the wait for an engine that is dead.
 	silencePart = 1.5
 	// minSilence is the shortest such time. Shorter times sent requests of loaded engines twice; callers of short prompts leave after 2 s.
 	minSilence = 1300 * time.Millisecond
+	// pauseExtra and pauseGaps give how long a stream may pause before it goes on elsewhere, and pausePart bounds it to a part of the time
+	// after which its caller leaves.
+	pauseExtra = time.Second
+	pauseGaps  = 2
+	pausePart  = 0.8
 	// silenceTargets is how many objectives a safe call may take before it is sent to another endpoint.
 	silenceTargets = 2.5
 )
@@ -28,6 +34,7 @@
 func (f *Forwarder) attempt(ctx context.Context, p *progress, plan modeler.Plan, sink Sink) (outcome modeler.Outcome) {
 	id := f.request(p).ID
 	p.sends++
+	p.sentAt = time.Now()
 	p.result.Endpoint, p.result.Helpers = plan.Endpoint.ID, len(plan.Helpers)
 	defer func() {
 		f.Control.Post(modeler.AttemptEnded{ID: id, Outcome: outcome})
@@ -40,9 +47,9 @@
 		var failed dialer.SendError
 		if errors.As(err, &failed) && failed.Sent {
 			f.mayHaveRun(p)
-			return f.failure(ctx, err, modeler.Broken)
+			return f.failure(ctx, p, err, modeler.Broken)
 		}
-		return f.failure(ctx, err, modeler.Unreachable)
+		return f.failure(ctx, p, err, modeler.Unreachable)
 	}
 	complete := false
 	defer func() { x.Close(complete) }()
@@ -52,7 +59,7 @@
 	})
 	if err != nil {
 		f.mayHaveRun(p)
-		return f.failure(ctx, err, modeler.Broken)
+		return f.failure(ctx, p, err, modeler.Broken)
 	}
 	fields := f.Protocol.AnswerFields(response.StatusCode, response.Header)
 	if fields.NotRun {
@@ -106,20 +113,25 @@
 	}
 	limit := time.Duration(silenceTargets * float64(p.call.Route.Target))
 	if p.call.Route.Kind == modeler.Stream {
-		limit = minSilence + time.Duration(silencePart*float64(plan.First))
+		limit = max(minSilence, p.call.Route.Target) + time.Duration(silencePart*float64(plan.First))
 	}
 	return max(min(limit, left), time.Millisecond)
 }
 
 // failure turns an error of a connection into an outcome.
-func (f *Forwarder) failure(ctx context.Context, err error, broken modeler.Outcome) modeler.Outcome {
+func (f *Forwarder) failure(ctx context.Context, p *progress, err error, broken modeler.Outcome) modeler.Outcome {
 	var timeout net.Error
+	waited := time.Since(p.sentAt)
 	switch {
 	case ctx.Err() != nil:
 		return modeler.Abandoned
 	case errors.Is(err, dialer.ErrForeign):
 		return modeler.Garbled
 	case errors.As(err, &timeout) && timeout.Timeout() && broken != modeler.Unreachable:
+		if waited < time.Duration(silenceTargets*float64(p.call.Route.Target)) {
+			// The caller's time was too short to say anything about the endpoint.
+			return modeler.Abandoned
+		}
 		return modeler.Silent
 	default:
 		return broken
@@ -135,7 +147,7 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit+1))
 	if err != nil || len(body) > answerLimit {
 		f.mayHaveRun(p)
-		return f.failure(ctx, err, modeler.Broken), false
+		return f.failure(ctx, p, err, modeler.Broken), false
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
 	if failed && f.repeatFailure(ctx, p) {
@@ -221,7 +233,7 @@
 		}
 		if err != nil {
 			p.mayRun = true
-			return f.failure(ctx, err, modeler.Broken), false
+			return f.failure(ctx, p, err, modeler.Broken), false
 		}
 		if !started {
 			started = true
@@ -259,7 +271,9 @@
 	if !p.call.Route.Resumable || p.ran >= p.call.Route.Attempts {
 		return left
 	}
-	return min(left, max(minSilence, 2*p.call.Route.GapTarget))
+	route := p.call.Route
+	longest := time.Duration(pausePart * float64(patience(route)))
+	return min(left, longest, max(minSilence, pauseGaps*route.GapTarget+pauseExtra))
 }
 
 // errCutEvent says that a stream ended inside an event.
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -122,6 +122,8 @@
 	tried    []modeler.EndpointID
 	// sends counts attempts, and ran those that may have run.
 	sends, ran int
+	// sentAt is when the last attempt began.
+	sentAt time.Time
 	// mayRun is set if the request may have run at an endpoint that did not answer.
 	mayRun bool
 	// lastEvent is the id of the last event passed on, and begun tells whether the header was.
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -125,7 +125,7 @@
 }
 
 // inService tells whether an endpoint may get new work.
-func (s *System) inService(world *modeler.World, endpoint modeler.Endpoint, now time.Time) bool {
+func (s *System) inService(world *modeler.World, endpoint modeler.Endpoint) bool {
 	if endpoint.Draining {
 		return false
 	}
@@ -133,23 +133,32 @@
 		return false
 	}
 	health, _ := world.Health.Get(endpoint.ID)
-	return !health.Misdirected && !now.Before(health.AvoidUntil)
+	return !health.Misdirected
 }
 
+// candidates returns the endpoints that may get the request. Those that fell silent are tried again only when no other is left.
 func (s *System) candidates(now time.Time, world *modeler.World, service modeler.Service, request modeler.Request) []Candidate {
-	var candidates []Candidate
+	var candidates, silent []Candidate
 	for id, endpoint := range world.Endpoints.All() {
-		if endpoint.Service != service.ID || !s.inService(world, endpoint, now) || contains(request.Tried, id) {
+		if endpoint.Service != service.ID || !s.inService(world, endpoint) || contains(request.Tried, id) {
 			continue
 		}
 		if !s.cold.allows(now, endpoint, s.coldLimit(world, service)) {
 			continue
 		}
 		health, _ := world.Health.Get(id)
-		candidates = append(candidates, Candidate{
+		candidate := Candidate{
 			Endpoint: endpoint, Load: loadOf(world, id, service.Engine, now), FailureRate: health.FailureRate(now),
 			Near: endpoint.DataCentre == request.DataCentre,
-		})
+		}
+		if now.Before(health.AvoidUntil) {
+			silent = append(silent, candidate)
+			continue
+		}
+		candidates = append(candidates, candidate)
+	}
+	if len(candidates) == 0 {
+		return silent
 	}
 	return candidates
 }
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -155,7 +155,7 @@
 	world.Forwarded.Delete(body.ID)
 	decision := body.Decision
 	if !decision.Refused {
-		plan, ok := s.resolve(world, decision.Plan, tick.Now)
+		plan, ok := s.resolve(world, decision.Plan)
 		if !ok {
 			// The two nodes have read the store to different points.
 			world.Waiting.Put(body.ID, modeler.Waiting{Request: row.Request, Since: tick.Now})
@@ -168,11 +168,11 @@
 }
 
 // resolve completes the endpoints of a plan that came from another node. It returns false if one is unknown or out of service here.
-func (s *System) resolve(world *modeler.World, plan modeler.Plan, now time.Time) (modeler.Plan, bool) {
+func (s *System) resolve(world *modeler.World, plan modeler.Plan) (modeler.Plan, bool) {
 	engines := plan.Engines()
 	for i, engine := range engines {
 		endpoint, ok := world.Endpoints.Get(engine.ID)
-		if !ok || !s.inService(world, endpoint, now) {
+		if !ok || !s.inService(world, endpoint) {
 			return plan, false
 		}
 		engines[i] = endpoint
@@ -241,7 +241,7 @@
 	for _, row := range world.Waiting.All() {
 		waiting = append(waiting, row)
 	}
-	slices.SortStableFunc(waiting, func(a, b modeler.Waiting) int { return s.order(tick.Now, a.Request, b.Request) })
+	slices.SortStableFunc(waiting, func(a, b modeler.Waiting) int { return s.order(tick.Now, world, a.Request, b.Request) })
 	for _, row := range waiting {
 		decision, decided := s.decide(tick, world, row)
 		if !decided {
@@ -258,9 +258,10 @@
 	}
 }
 
-// order sorts requests that can still be on time before late ones, by priority and by what is left until they are late.
-func (s *System) order(now time.Time, a, b modeler.Request) int {
-	lateA, lateB := now.After(a.Due), now.After(b.Due)
+// order sorts requests that can still be on time before those that cannot, by priority and by what is left until they are late. A place
+// that a late request takes makes another one late, too.
+func (s *System) order(now time.Time, world *modeler.World, a, b modeler.Request) int {
+	lateA, lateB := tooLate(now, world, a), tooLate(now, world, b)
 	if lateA != lateB {
 		if lateA {
 			return 1
@@ -270,6 +271,28 @@
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Due.Compare(b.Due))
 }
 
+const (
+	// usualPasses is the number of passes of a loaded engine from placement to the first event, beside the reading itself: the rest of
+	// the running one and the own one.
+	usualPasses = 2
+	// usualSpread covers the error of that estimate.
+	usualSpread = 60 * time.Millisecond
+)
+
+// tooLate tells whether a request would be late at a usual place.
+func tooLate(now time.Time, world *modeler.World, request modeler.Request) bool {
+	left := request.Due.Sub(now)
+	service, ok := world.Configuration.Service(request.Service)
+	if !ok || !service.IsEngine() {
+		return left <= 0
+	}
+	reading := service.Engine.Reading(request.Prompt)
+	if reading > longPart {
+		reading /= spreadEngines
+	}
+	return left < reading+usualPasses*service.Engine.IdlePass()+usualSpread
+}
+
 func (s *System) answer(tick *modeler.Tick, world *modeler.World, row modeler.Waiting, decision modeler.Decision) {
 	request := row.Request
 	if !decision.Refused {
