Count parts of other prompts twice against waiting reads; favour the kind that is served worst

The kind with the fewest on-time answers has weight of its own in the users' goal. Change: a part counts twice against reads that wait; the coordinator multiplies the weight of a kind by 1 plus the distance to the best kind.

--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -27,6 +27,8 @@
 	Tried []EndpointID
 	// DataCentre is that of the node that asks.
 	DataCentre DataCentreID
+	// Favour multiplies the weight of requests whose kind is served worse than others. Zero counts as 1.
+	Favour float64
 	// Resumed requests have delivered events already.
 	Resumed bool
 }
@@ -37,6 +39,12 @@
 	return r
 }
 
+// WithFavour returns the request with a multiple of its weight.
+func (r Request) WithFavour(favour float64) Request {
+	r.Favour = favour
+	return r
+}
+
 // Total is the memory that the request may need.
 func (r Request) Total() Tokens { return r.Prompt + r.Output }
 
--- a/internal/fleet/placer/load.go
+++ b/internal/fleet/placer/load.go
@@ -36,7 +36,7 @@
 // weight estimates what a request is worth by the work that it is: the users value long reads by their size.
 func weight(request modeler.Request) float64 {
 	const tokensPerUnit = 9000
-	return 1 + float64(request.Prompt)/tokensPerUnit
+	return (1 + float64(request.Prompt)/tokensPerUnit) * max(request.Favour, 1)
 }
 
 // loadOf sums up the assignments of an endpoint. Without a fresh view of all nodes, the coordinator's last digest is a lower bound.
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/elector"
@@ -44,12 +45,13 @@
 type System struct {
 	options Options
 	cold    coldLimiter
+	balance balance
 	sweepAt time.Time
 }
 
 // New returns the system.
 func New(options Options) *System {
-	return &System{options: options, cold: newColdLimiter()}
+	return &System{options: options, cold: newColdLimiter(), balance: newBalance()}
 }
 
 // Run implements modeler.System.
@@ -243,6 +245,7 @@
 	}
 	slices.SortStableFunc(waiting, func(a, b modeler.Waiting) int { return s.order(tick.Now, world, a.Request, b.Request) })
 	for _, row := range waiting {
+		row.Request = row.Request.WithFavour(s.balance.favour(row.Request))
 		decision, decided := s.decide(tick, world, row)
 		if !decided {
 			if row.Request.Node != world.Self.ID && row.Since.Equal(tick.Now) {
@@ -295,6 +298,7 @@
 
 func (s *System) answer(tick *modeler.Tick, world *modeler.World, row modeler.Waiting, decision modeler.Decision) {
 	request := row.Request
+	s.balance.count(request, !decision.Refused && !decision.Plan.Late)
 	if !decision.Refused {
 		s.assign(tick, world, request, decision.Plan)
 	}
@@ -308,6 +312,15 @@
 	}
 }
 
+// names lists endpoints for the log.
+func names(endpoints []modeler.Endpoint) string {
+	ids := make([]string, 0, len(endpoints))
+	for _, e := range endpoints {
+		ids = append(ids, string(e.ID))
+	}
+	return strings.Join(ids, ",")
+}
+
 func placedNote(now time.Time, world *modeler.World, row modeler.Waiting, decision modeler.Decision) modeler.Note {
 	request := row.Request
 	if decision.Refused {
@@ -317,7 +330,7 @@
 		}}
 	}
 	return modeler.Note{Name: "Placed", Request: request.ID, Fields: []modeler.Field{
-		{Key: "Endpoint", Value: string(decision.Plan.Endpoint.ID)}, {Key: "Helpers", Value: len(decision.Plan.Helpers)},
+		{Key: "Endpoint", Value: string(decision.Plan.Endpoint.ID)}, {Key: "Helpers", Value: names(decision.Plan.Helpers)},
 		{Key: "Expected", Value: decision.Plan.First}, {Key: "Waited", Value: now.Sub(row.Since)}, {Key: "Left", Value: request.Due.Sub(now)},
 		{Key: "Prompt", Value: request.Prompt}, {Key: "Coordinates", Value: world.Coordinates()},
 	}}
--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -111,6 +111,9 @@
 	packingGain = 0.01
 	// readyCost is the price of a second until an engine is done, in units of weight.
 	readyCost = 0.05
+	// partsAhead is how often a part counts against reads that wait on its engine: engines process parts of other prompts first, so that
+	// later ones delay the same read again.
+	partsAhead = 2
 	// patiencePart is the part of the time until the caller leaves in which the first event must be expected.
 	patiencePart = 0.85
 	// transit is the time of a request and its first event on the network.
@@ -201,7 +204,7 @@
 		}
 	}
 	for _, r := range load.readers {
-		o.cost += r.weight * max(0, lateness(r.first+part, r.due)-lateness(r.first, r.due))
+		o.cost += r.weight * max(0, lateness(r.first+partsAhead*part, r.due)-lateness(r.first, r.due))
 	}
 	// A running pass ends before the part begins, and the first event comes at the end of the pass that finishes it.
 	o.ready = load.Pass/2 + load.Backlog + part + load.Pass
