--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -123,7 +123,9 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return n.loop.Run(running) })
-	group.Go(func() error { return peers.Receive(func(m modeler.Message) { n.loop.Post(modeler.PeerReceived{Message: m}) }) })
+	group.Go(func() error {
+		return peers.Receive(func(m modeler.Message) { n.loop.Post(modeler.PeerReceived{Message: m}) })
+	})
 	for _, f := range n.followers(store) {
 		group.Go(func() error { return f.Run(running) })
 	}
