--- /dev/null
+++ b/internal/fleet/applier/applier_test.go
@@ -0,0 +1,149 @@
+package applier_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/applier"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// step is what happens at a time after the start.
+type step struct {
+	at    time.Duration
+	event modeler.Event
+}
+
+var start = time.Unix(1000, 0)
+
+func run(steps []step) *modeler.World {
+	world := modeler.NewWorld(modeler.Node{ID: "n"})
+	system := applier.New()
+	for _, s := range steps {
+		tick := &modeler.Tick{Now: start.Add(s.at)}
+		if s.event != nil {
+			tick.Events = []modeler.Event{s.event}
+		}
+		system.Run(tick, world)
+	}
+	return world
+}
+
+func configuration(version, offset int64) modeler.ConfigurationChanged {
+	return modeler.ConfigurationChanged{Configuration: modeler.NewConfiguration(version, nil, nil, nil, modeler.Limits{}).WithOffset(offset)}
+}
+
+func changed(id modeler.EndpointID, offset int64) modeler.EndpointChanged {
+	return modeler.EndpointChanged{Endpoint: modeler.Endpoint{ID: id, Service: "s", Address: "a"}, Offset: offset}
+}
+
+// TestConfigurationNeverReverts guards against an older configuration that replaces a newer one.
+func TestConfigurationNeverReverts(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []step
+		want  int64
+	}{
+		{"newer", []step{{0, configuration(3, 1)}, {1, configuration(8, 2)}}, 8},
+		{"read again", []step{{0, configuration(8, 2)}, {1, configuration(8, 2)}}, 8},
+		{"older record read late", []step{{0, configuration(8, 2)}, {1, configuration(3, 1)}}, 8},
+		{"older version at a later place", []step{{0, configuration(8, 2)}, {1, configuration(3, 5)}}, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, run(tt.steps).Configuration.Version, tt.want) })
+	}
+}
+
+// TestDataCentres guards against a data centre that gets work while it is out, or stays out after operators took it back.
+func TestDataCentres(t *testing.T) {
+	out := func(is bool, offset int64) modeler.DataCentreChanged {
+		return modeler.DataCentreChanged{DataCentre: "dc", Out: is, Offset: offset}
+	}
+	tests := []struct {
+		name  string
+		steps []step
+		want  bool
+	}{
+		{"out", []step{{0, out(true, 1)}}, true},
+		{"back", []step{{0, out(true, 1)}, {1, out(false, 2)}}, false},
+		{"older record read late", []step{{0, out(true, 1)}, {1, out(false, 2)}, {2, out(true, 1)}}, false},
+		{"out again", []step{{0, out(true, 1)}, {1, out(false, 2)}, {2, out(true, 3)}}, true},
+		{"not among the newest", []step{{0, out(true, 1)}, {1, modeler.TopicListed{Topic: modeler.Operators}}}, false},
+		{
+			"among the newest",
+			[]step{{0, out(true, 1)}, {1, modeler.TopicListed{Topic: modeler.Operators, Keys: map[string]bool{"dc": true}}}}, true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, is := run(tt.steps).Out.Get("dc")
+			assert.Equal(t, is, tt.want)
+		})
+	}
+}
+
+// TestEndpoints guards against endpoints that are used after they left, and against those that are given up because the store was away.
+func TestEndpoints(t *testing.T) {
+	removed := modeler.EndpointRemoved{ID: "e", Offset: 2}
+	failed := modeler.TopicFailed{Topic: modeler.Endpoints, Reason: "timeout"}
+	read := modeler.TopicRead{Topic: modeler.Endpoints, Next: 3}
+	unreadable := modeler.EndpointRemoved{ID: "e", Offset: 2, Unreadable: true}
+	tests := []struct {
+		name  string
+		steps []step
+		want  bool
+	}{
+		{"known", []step{{0, changed("e", 1)}}, true},
+		{"removed", []step{{0, changed("e", 1)}, {time.Second, removed}}, false},
+		{"removed record read late", []step{{0, changed("e", 3)}, {time.Second, removed}}, true},
+		{"older entry read late", []step{{0, changed("e", 1)}, {time.Second, removed}, {2 * time.Second, changed("e", 1)}}, false},
+		{"lapsed while the store was away", []step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}}, true},
+		{
+			"kept while the store is away",
+			[]step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}, {20 * time.Second, nil}}, true,
+		},
+		{
+			"not back after the store's return",
+			[]step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {5300 * time.Millisecond, nil}}, false,
+		},
+		{
+			"back after the store's return",
+			[]step{
+				{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {4 * time.Second, changed("e", 4)},
+				{6 * time.Second, nil},
+			}, true,
+		},
+		{"unreadable entry", []step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, unreadable}}, false},
+		{"not among the newest", []step{{0, changed("e", 1)}, {time.Second, modeler.TopicListed{Topic: modeler.Endpoints}}}, false},
+		{
+			"nodes listed", []step{{0, changed("e", 1)}, {time.Second, modeler.TopicListed{Topic: modeler.Nodes}}}, true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, known := run(tt.steps).Endpoints.Get("e")
+			assert.Equal(t, known, tt.want)
+		})
+	}
+}
+
+// TestRestartForgets guards against what was measured of an earlier start of an endpoint being held against the new one.
+func TestRestartForgets(t *testing.T) {
+	world := modeler.NewWorld(modeler.Node{ID: "n"})
+	system := applier.New()
+	apply := func(event modeler.Event) { system.Run(&modeler.Tick{Now: start, Events: []modeler.Event{event}}, world) }
+	apply(changed("e", 1))
+	world.Health.Put("e", modeler.Health{}.WithSilence(start))
+	world.Busy.Put("e", start.Add(time.Hour))
+	born := changed("e", 2)
+	born.Endpoint.Born = 7
+	born.ColdFor = 3 * time.Second
+	apply(born)
+	_, health := world.Health.Get("e")
+	_, busy := world.Busy.Get("e")
+	assert.Assert(t, !health && !busy)
+	endpoint, _ := world.Endpoints.Get("e")
+	assert.Assert(t, endpoint.Cold(start.Add(2*time.Second)) && !endpoint.Cold(start.Add(3*time.Second)))
+}
--- /dev/null
+++ b/internal/fleet/forwarder/event_test.go
@@ -0,0 +1,53 @@
+package forwarder
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEventReader guards against events that are split, joined or lost, and against a cut event that is passed on.
+func TestEventReader(t *testing.T) {
+	tests := []struct {
+		name, input string
+		ids         []string
+		err         error
+	}{
+		{"none", "", nil, io.EOF},
+		{"two", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}, io.EOF},
+		{"without id", "data: a\n\n", []string{""}, io.EOF},
+		{"first line of the platform", "weight-versions: 4\nid: 7\ndata: a\n\n", []string{"7"}, io.EOF},
+		{"cut inside an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, errCutEvent},
+		{"larger than the buffer", "id: 1\ndata: " + strings.Repeat("x", 3*eventBuffer) + "\n\nid: 2\n\n", []string{"1", "2"}, io.EOF},
+	}
+	for _, tt := range tests {
+		for _, source := range []struct {
+			name string
+			wrap func(io.Reader) io.Reader
+		}{
+			{"whole", func(r io.Reader) io.Reader { return r }}, {"byte by byte", iotest.OneByteReader}, {"data with error", iotest.DataErrReader},
+		} {
+			t.Run(tt.name+"/"+source.name, func(t *testing.T) {
+				reader := newEventReader(source.wrap(strings.NewReader(tt.input)))
+				var ids []string
+				var passed bytes.Buffer
+				for {
+					e, err := reader.next()
+					if err != nil {
+						assert.Assert(t, errors.Is(err, tt.err), "%v", err)
+						break
+					}
+					ids = append(ids, e.id)
+					passed.Write(e.data)
+				}
+				assert.DeepEqual(t, ids, tt.ids)
+				assert.Assert(t, strings.HasPrefix(tt.input, passed.String()))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/limiter/limiter_test.go
@@ -0,0 +1,76 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"damaskpick.example/damaskpick/internal/fleet/limiter"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// TestBudgetHolds guards against repeats beyond the limit of all nodes in any window, whatever the order of requests and repeats.
+func TestBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, slack, window = 0.2, 40.0, 10 * time.Second
+		nodes := rapid.IntRange(1, 12).Draw(t, "nodes")
+		now := time.Unix(1000, 0)
+		clock := func() time.Time { return now }
+		budgets := make([]*limiter.Budget, nodes)
+		for i := range budgets {
+			budgets[i] = limiter.NewBudget(limiter.Options{Ratio: ratio, Slack: slack, Window: window}, clock)
+		}
+		var requests, repeats []time.Time
+		steps := rapid.IntRange(1, 600).Draw(t, "steps")
+		for range steps {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+			if rapid.Bool().Draw(t, "request") {
+				budget.Earn("s")
+				requests = append(requests, now)
+			} else if budget.Spend("s", nodes) {
+				repeats = append(repeats, now)
+			}
+			// The users count the requests of the window or of the one before, whichever has more.
+			within := count(repeats, now, window)
+			allowed := ratio*float64(max(count(requests, now, window), count(requests, now.Add(-window/2), window), count(requests, now.Add(-window), window))) + slack
+			if float64(within) > allowed {
+				t.Fatalf("%d repeats in a window, %v allowed", within, allowed)
+			}
+		}
+	})
+}
+
+func count(times []time.Time, now time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.After(now) && now.Sub(at) < window {
+			n++
+		}
+	}
+	return n
+}
+
+// TestBudget guards against services that use each other's budget, and against one that never recovers.
+func TestBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := limiter.NewBudget(limiter.Options{Ratio: 0.2, Slack: 4, Window: 10 * time.Second}, func() time.Time { return now })
+	tests := []struct {
+		service modeler.ServiceID
+		after   time.Duration
+		want    []bool
+	}{
+		{"a", 0, []bool{true, true, false}},
+		{"b", 0, []bool{true, true, false}},
+		{"a", 5 * time.Second, []bool{false}},
+		{"a", 6 * time.Second, []bool{true, true, false}},
+	}
+	for _, tt := range tests {
+		now = now.Add(tt.after)
+		for i, want := range tt.want {
+			assert.Equal(t, b.Spend(tt.service, 1), want, "%s, repeat %d", tt.service, i)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/modeler/modeler_test.go
@@ -0,0 +1,101 @@
+package modeler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// TestRoute guards against a request that takes a shorter prefix, another host's route, or a route whose prefix ends inside a segment.
+func TestRoute(t *testing.T) {
+	var routes []modeler.Route
+	for _, r := range []struct{ name, host, prefix string }{
+		{"a", "h1", "/a/"}, {"ab", "h1", "/a/b/"}, {"root", "h2", "/"}, {"a2", "h2", "/a/"},
+	} {
+		routes = append(routes, modeler.Route{Name: r.name, Host: r.host, Prefix: r.prefix})
+	}
+	c := modeler.NewConfiguration(1, routes, nil, nil, modeler.Limits{})
+	tests := []struct{ host, path, want string }{
+		{"h1", "/a/x", "a"}, {"h1", "/a/", "a"}, {"h1", "/a/b/", "ab"}, {"h1", "/a/b/c/d", "ab"}, {"h1", "/a/bc", "a"},
+		{"h1", "/a", ""}, {"h1", "/b/", ""}, {"h1", "", ""}, {"h3", "/a/", ""}, {"h2", "/b/c", "root"}, {"h2", "/a/b/", "a2"}, {"h2", "/", "root"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.host+tt.path, func(t *testing.T) {
+			route, ok := c.Route(tt.host, tt.path)
+			assert.Equal(t, route.Name, tt.want)
+			assert.Equal(t, ok, tt.want != "")
+		})
+	}
+}
+
+// TestPick guards against services that get another share than their weight.
+func TestPick(t *testing.T) {
+	route := modeler.Route{Backends: []modeler.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	tests := []struct {
+		random float64
+		want   modeler.ServiceID
+	}{{0, "a"}, {0.89, "a"}, {0.9, "b"}, {0.999999, "b"}, {1, "b"}}
+	for _, tt := range tests {
+		assert.Equal(t, route.Pick(tt.random), tt.want, "%v", tt.random)
+	}
+}
+
+// TestReading guards against a reading time in another unit: the figures are those of the users' engines.
+func TestReading(t *testing.T) {
+	profile := modeler.EngineProfile{ReadRate: 154_000, PerMillionPairs: 162 * time.Microsecond, Chunk: 2048, Step: 1310 * time.Microsecond}
+	tests := []struct {
+		prompt modeler.Tokens
+		want   time.Duration
+	}{{0, 0}, {5_000, 37 * time.Millisecond}, {45_000, 485 * time.Millisecond}, {182_000, 3981 * time.Millisecond}}
+	for _, tt := range tests {
+		got := profile.Reading(tt.prompt)
+		assert.Assert(t, (got-tt.want).Abs() < 2*time.Millisecond, "%d tokens: %v, want %v", tt.prompt, got, tt.want)
+	}
+}
+
+// TestHealth guards against an endpoint that is avoided for ever, or at once again after it answered.
+func TestHealth(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h modeler.Health
+	waits := []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second}
+	for _, want := range waits {
+		h = h.WithSilence(now)
+		assert.Equal(t, h.AvoidUntil.Sub(now), want)
+	}
+	rate := h.FailureRate(now)
+	assert.Assert(t, rate > 0.4)
+	assert.Assert(t, h.FailureRate(now.Add(3*time.Second)) < rate*0.51)
+	h = h.WithSuccess(now)
+	assert.Assert(t, h.AvoidUntil.IsZero() && h.Failures == 0)
+	assert.Assert(t, h.FailureRate(now) < rate)
+}
+
+// TestAssignments guards against reading time that stays reserved after the request has ended, and against index entries left behind.
+func TestAssignments(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := []modeler.Endpoint{{ID: "e1"}, {ID: "e2"}}
+	row := func(id modeler.RequestID) modeler.Assignment {
+		return modeler.Assignment{
+			Request: modeler.Request{ID: id, Node: "n"},
+			Plan:    modeler.Plan{Endpoint: engines[0], Helpers: engines[1:], Part: time.Second},
+		}
+	}
+	w := modeler.NewWorld(modeler.Node{ID: "n"})
+	w.Assign(row("a"))
+	w.Assign(row("b"))
+	for _, e := range engines {
+		w.Busy.Put(e.ID, now.Add(2*time.Second))
+	}
+	w.Unassign("a")
+	busy, _ := w.Busy.Get("e2")
+	assert.Equal(t, busy, now.Add(time.Second))
+	w.Assign(row("b").WithStarted(now))
+	assert.Equal(t, w.ByEndpoint.Len("e2"), 0, "a helper is free once the first event came")
+	assert.Assert(t, !w.Reads("e1"))
+	w.Unassign("b")
+	w.Unassign("b")
+	assert.Equal(t, w.ByEndpoint.Len("e1")+w.ByNode.Len("n")+w.Assignments.Len(), 0)
+}
