--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 generate: ## Regenerate the peer protocol (needs protoc, protoc-gen-go and protoc-gen-twirp)
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative \
 		internal/peer/messenger/peer.proto
+	protoc --go_out=. --go_opt=paths=source_relative internal/fleet/messenger/fleet.proto
 
 # The guarantees in the order of docs/design.md, section 2.
 GUARANTEES := Finish Memory ColdStart DataCentreOut WholeAnswer NotRun AtMostOnce EndpointLeaving PlannedStop Rules Shares Poison
--- a/internal/fleet/applier/applier_test.go
+++ b/internal/fleet/applier/applier_test.go
@@ -133,7 +133,9 @@
 func TestRestartForgets(t *testing.T) {
 	world := modeler.NewWorld(modeler.Node{ID: "n"})
 	system := applier.New()
-	apply := func(event modeler.Event) { system.Run(&modeler.Tick{Now: start, Events: []modeler.Event{event}}, world) }
+	apply := func(event modeler.Event) {
+		system.Run(&modeler.Tick{Now: start, Events: []modeler.Event{event}}, world)
+	}
 	apply(changed("e", 1))
 	world.Health.Put("e", modeler.Health{}.WithSilence(start))
 	world.Busy.Put("e", start.Add(time.Hour))
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -86,7 +86,7 @@
 		if !ok || row.Incarnation != message.Incarnation {
 			return
 		}
-		row = row.WithLeaving(body.Node.Leaving).WithRank(body.Node.Rank)
+		row = row.WithLeaving(body.Node.Leaving).WithRank(body.Node.Rank).WithCoordinates(body.Coordinates)
 		world.Nodes.Put(message.From, row)
 	case modeler.Digest:
 		for _, node := range body.Alive {
@@ -129,8 +129,9 @@
 		if node.Leaving || node.Rank >= best.Rank || node.HeardAt.IsZero() || tick.Now.Sub(node.HeardAt) >= nodeTimeout {
 			continue
 		}
-		// A coordinator must be heard directly; it had time for it since it was taken.
-		if id == world.Coordinator && tick.Now.Sub(later(node.HeardAt, world.CoordinatorSince)) > coordinatorTimeout {
+		// A coordinator beats at short intervals; it had time for it since it was taken. A node that this one took, and that itself
+		// follows another, is heard at the longer ones.
+		if id == world.Coordinator && node.Coordinates && tick.Now.Sub(later(node.HeardAt, world.CoordinatorSince)) > coordinatorTimeout {
 			continue
 		}
 		best = node
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -57,6 +57,7 @@
 func decodePlan(p *Plan) modeler.Plan {
 	plan := modeler.Plan{
 		Endpoint: modeler.Endpoint{ID: modeler.EndpointID(p.GetEndpoint())}, Part: microseconds(p.GetPart()), First: microseconds(p.GetFirst()),
+		Late: p.GetLate(),
 	}
 	for _, h := range p.GetHelpers() {
 		plan.Helpers = append(plan.Helpers, modeler.Endpoint{ID: modeler.EndpointID(h)})
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -52,7 +52,7 @@
 	for _, h := range p.Helpers {
 		helpers = append(helpers, string(h.ID))
 	}
-	return &Plan{Endpoint: string(p.Endpoint.ID), Helpers: helpers, Part: p.Part.Microseconds(), First: p.First.Microseconds()}
+	return &Plan{Endpoint: string(p.Endpoint.ID), Helpers: helpers, Part: p.Part.Microseconds(), First: p.First.Microseconds(), Late: p.Late}
 }
 
 func encodeNode(n modeler.Node) *Node {
--- /dev/null
+++ b/internal/fleet/messenger/messenger_test.go
@@ -0,0 +1,105 @@
+package messenger
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+var now = time.Unix(1000, 0)
+
+func request() modeler.Request {
+	return modeler.Request{
+		ID: "r/0/x", Node: "n", Service: "s", Kind: modeler.Stream, Prompt: 5000, Output: 900, Arrived: now.Add(-time.Second),
+		Due: now.Add(-time.Millisecond), Deadline: now.Add(time.Minute), Gap: 250 * time.Millisecond, Priority: -1, Fingerprint: 1 << 63,
+		Tried: []modeler.EndpointID{"e1", "e2"}, DataCentre: "dc", Resumed: true,
+	}
+}
+
+func node() modeler.Node {
+	return modeler.Node{
+		ID: "n", Incarnation: 1 << 62, Rank: modeler.UnregisteredRank, PeerAddress: "10.0.0.1:1", CallerAddress: "10.0.0.1:2", DataCentre: "dc",
+		Region: "region", Leaving: true,
+	}
+}
+
+// TestRoundTrip guards against a field that another node does not get.
+func TestRoundTrip(t *testing.T) {
+	plan := modeler.Plan{
+		Endpoint: modeler.Endpoint{ID: "e"}, Helpers: []modeler.Endpoint{{ID: "h1"}, {ID: "h2"}}, Part: time.Second, First: 2 * time.Second, Late: true,
+	}
+	assignment := modeler.Assignment{Request: request(), Plan: plan, Placed: now.Add(-time.Minute)}
+	tests := []struct {
+		name string
+		body modeler.MessageBody
+	}{
+		{"ask", modeler.Ask{Request: request()}},
+		{"queued", modeler.Queued{ID: "r"}},
+		{"granted", modeler.Granted{ID: "r", Decision: modeler.Decision{Plan: plan}}},
+		{"refused", modeler.Granted{ID: "r", Decision: modeler.Decision{
+			Refused: true, Reason: modeler.ReasonOverloaded, RetryAfter: time.Second,
+		}}},
+		{"started", modeler.Started{ID: "r"}},
+		{"ended", modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Garbled, Fingerprint: 1<<64 - 1}},
+		{"beat", modeler.Beat{
+			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithStarted(now)}, Ends: [2]int64{4, 5},
+		}},
+		{"digest", modeler.Digest{
+			Alive: []modeler.Node{node()}, Quarantined: []modeler.Fingerprint{9},
+			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			message := modeler.Message{From: "n", Incarnation: 77, Body: tt.body}
+			data, err := proto.Marshal(encode(now, message))
+			assert.NilError(t, err)
+			var d Datagram
+			assert.NilError(t, proto.Unmarshal(data, &d))
+			got, ok := decode(now, &d)
+			assert.Assert(t, ok)
+			assert.DeepEqual(t, got, message)
+		})
+	}
+}
+
+// FuzzDecode guards against a datagram that stops a node.
+func FuzzDecode(f *testing.F) {
+	data, err := proto.Marshal(encode(now, modeler.Message{From: "n", Body: modeler.Ask{Request: request()}}))
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var d Datagram
+		if proto.Unmarshal(data, &d) == nil {
+			decode(now, &d)
+		}
+	})
+}
+
+// TestSendAndReceive guards against messages that are not delivered, and against one that cannot be read ending the receiver.
+func TestSendAndReceive(t *testing.T) {
+	a, closeA, err := New("127.0.0.1:0")
+	assert.NilError(t, err)
+	b, closeB, err := New("127.0.0.1:0")
+	assert.NilError(t, err)
+	got := make(chan modeler.Message, 10)
+	done := make(chan error, 1)
+	go func() { done <- b.Receive(func(m modeler.Message) { got <- m }) }()
+	to := modeler.Node{ID: "b", PeerAddress: b.conn.LocalAddr().String()}
+	_, err = a.conn.WriteToUDPAddrPort([]byte("not a message"), netip.MustParseAddrPort(b.conn.LocalAddr().String()))
+	assert.NilError(t, err)
+	assert.NilError(t, a.Send(to, modeler.Message{From: "a", Body: modeler.Queued{ID: "r"}}))
+	message := <-got
+	assert.DeepEqual(t, message, modeler.Message{From: "a", Body: modeler.Queued{ID: "r"}})
+	assert.Equal(t, b.Failed(), int64(1))
+	assert.ErrorContains(t, a.Send(modeler.Node{ID: "c", PeerAddress: "nowhere"}, modeler.Message{}), "peer address")
+	assert.NilError(t, closeA())
+	assert.NilError(t, closeB())
+	assert.NilError(t, <-done)
+}
--- a/internal/fleet/modeler/node.go
+++ b/internal/fleet/modeler/node.go
@@ -22,6 +22,8 @@
 	ReportedAt time.Time
 	// Leaving nodes take no new callers.
 	Leaving bool
+	// Coordinates is set if the node said last that it coordinates placement; it then sends beats at short intervals.
+	Coordinates bool
 }
 
 // UnregisteredRank is the rank of a node that the store has not registered yet.
@@ -45,6 +47,12 @@
 	return n
 }
 
+// WithCoordinates returns the row of a node that says whether it coordinates placement.
+func (n Node) WithCoordinates(coordinates bool) Node {
+	n.Coordinates = coordinates
+	return n
+}
+
 // WithRank returns the row after its registration.
 func (n Node) WithRank(rank int64) Node {
 	n.Rank = rank
--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -21,11 +21,13 @@
 // Proposal is what a policy would do with a request.
 type Proposal struct {
 	Plan modeler.Plan
-	// Harm is what the plan costs the requests that run already, Loss what the request itself loses against its full worth; both in
-	// units of weight.
-	Harm, Loss float64
+	// Harm is what the plan costs the requests that run already, Loss what the request itself loses against its full worth, and Reserve
+	// what speaks for other engines without harm to anyone yet; all in units of weight.
+	Harm, Loss, Reserve float64
 }
 
+func (p Proposal) cost() float64 { return p.Harm + p.Loss + p.Reserve }
+
 // Policy chooses among candidates. It returns false if none can take the request now.
 type Policy interface {
 	Propose(now time.Time, request modeler.Request, candidates []Candidate) (Proposal, bool)
@@ -125,15 +127,16 @@
 // option is a candidate with the cost of giving it a part of the reading.
 type option struct {
 	index int
-	// cost is the harm of the part, running what the request costs beside that if it generates there.
-	cost, running float64
-	ready         time.Duration
+	// harm is what the part costs requests on the engine, risk what the engine's failures may cost, and running what speaks against the
+	// request generating there.
+	harm, risk, running float64
+	ready               time.Duration
 	// free is set if the engine has a slot and the memory to run the request.
 	free bool
 }
 
 // rank orders engines for a part: by harm, and by when they would be done among equals.
-func (o option) rank() float64 { return o.cost + readyCost*o.ready.Seconds() }
+func (o option) rank() float64 { return o.harm + o.risk + readyCost*o.ready.Seconds() }
 
 // Propose implements Policy.
 func (p LengthAware) Propose(now time.Time, request modeler.Request, candidates []Candidate) (Proposal, bool) {
@@ -147,7 +150,7 @@
 			// The caller would have left.
 			continue
 		}
-		if ok && (!found || proposal.Harm+proposal.Loss < best.Harm+best.Loss) {
+		if ok && (!found || proposal.cost() < best.cost()) {
 			best, found = proposal, true
 		}
 	}
@@ -170,7 +173,7 @@
 		return Proposal{}, false
 	}
 	chosen := options[first]
-	proposal := Proposal{Harm: chosen.cost + chosen.running, Plan: modeler.Plan{Endpoint: candidates[chosen.index].Endpoint, Part: part}}
+	proposal := Proposal{Harm: chosen.harm, Reserve: chosen.risk + chosen.running, Plan: modeler.Plan{Endpoint: candidates[chosen.index].Endpoint, Part: part}}
 	ready := chosen.ready
 	for i, o := range options {
 		if len(proposal.Plan.Helpers) == engines-1 {
@@ -180,7 +183,8 @@
 			continue
 		}
 		proposal.Plan.Helpers = append(proposal.Plan.Helpers, candidates[o.index].Endpoint)
-		proposal.Harm += o.cost + helperCost
+		proposal.Harm += o.harm
+		proposal.Reserve += o.risk + helperCost
 		ready = max(ready, o.ready)
 	}
 	proposal.Plan.First = ready + transit
@@ -198,20 +202,20 @@
 	after := before + part
 	tightest := time.Duration(0)
 	for _, w := range load.writers {
-		o.cost += w.weight * max(0, lateness(after, w.gap)-lateness(before, w.gap))
+		o.harm += w.weight * max(0, lateness(after, w.gap)-lateness(before, w.gap))
 		if tightest == 0 || w.gap < tightest {
 			tightest = w.gap
 		}
 	}
 	for _, r := range load.readers {
-		o.cost += r.weight * max(0, lateness(r.first+partsAhead*part, r.due)-lateness(r.first, r.due))
+		o.harm += r.weight * max(0, lateness(r.first+partsAhead*part, r.due)-lateness(r.first, r.due))
 	}
 	// A running pass ends before the part begins, and the first event comes at the end of the pass that finishes it.
 	o.ready = load.Pass/2 + load.Backlog + part + load.Pass
 	if load.Pass == 0 {
 		o.ready += p.Profile.Step
 	}
-	o.cost += c.FailureRate * weight(request)
+	o.risk = c.FailureRate * weight(request)
 	if request.Gap > 0 && (tightest == 0 || request.Gap < tightest) {
 		o.running = openingCost
 	} else {
