--- a/internal/fleet/applier/applier_test.go
+++ b/internal/fleet/applier/applier_test.go
@@ -35,8 +35,8 @@
 	return modeler.ConfigurationChanged{Configuration: modeler.NewConfiguration(version, nil, nil, nil, modeler.Limits{}).WithOffset(offset)}
 }
 
-func changed(id modeler.EndpointID, offset int64) modeler.EndpointChanged {
-	return modeler.EndpointChanged{Endpoint: modeler.Endpoint{ID: id, Service: "s", Address: "a"}, Offset: offset}
+func changed(offset int64) modeler.EndpointChanged {
+	return modeler.EndpointChanged{Endpoint: modeler.Endpoint{ID: "e", Service: "s", Address: "a"}, Offset: offset}
 }
 
 // TestConfigurationNeverReverts guards against an older configuration that replaces a newer one.
@@ -95,30 +95,30 @@
 		steps []step
 		want  bool
 	}{
-		{"known", []step{{0, changed("e", 1)}}, true},
-		{"removed", []step{{0, changed("e", 1)}, {time.Second, removed}}, false},
-		{"removed record read late", []step{{0, changed("e", 3)}, {time.Second, removed}}, true},
-		{"older entry read late", []step{{0, changed("e", 1)}, {time.Second, removed}, {2 * time.Second, changed("e", 1)}}, false},
-		{"lapsed while the store was away", []step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}}, true},
+		{"known", []step{{0, changed(1)}}, true},
+		{"removed", []step{{0, changed(1)}, {time.Second, removed}}, false},
+		{"removed record read late", []step{{0, changed(3)}, {time.Second, removed}}, true},
+		{"older entry read late", []step{{0, changed(1)}, {time.Second, removed}, {2 * time.Second, changed(1)}}, false},
+		{"lapsed while the store was away", []step{{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}}, true},
 		{
 			"kept while the store is away",
-			[]step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}, {20 * time.Second, nil}}, true,
+			[]step{{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}, {20 * time.Second, nil}}, true,
 		},
 		{
 			"not back after the store's return",
-			[]step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {5300 * time.Millisecond, nil}}, false,
+			[]step{{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {5300 * time.Millisecond, nil}}, false,
 		},
 		{
 			"back after the store's return",
 			[]step{
-				{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {4 * time.Second, changed("e", 4)},
+				{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {4 * time.Second, changed(4)},
 				{6 * time.Second, nil},
 			}, true,
 		},
-		{"unreadable entry", []step{{0, changed("e", 1)}, {time.Second, failed}, {2 * time.Second, unreadable}}, false},
-		{"not among the newest", []step{{0, changed("e", 1)}, {time.Second, modeler.TopicListed{Topic: modeler.Endpoints}}}, false},
+		{"unreadable entry", []step{{0, changed(1)}, {time.Second, failed}, {2 * time.Second, unreadable}}, false},
+		{"not among the newest", []step{{0, changed(1)}, {time.Second, modeler.TopicListed{Topic: modeler.Endpoints}}}, false},
 		{
-			"nodes listed", []step{{0, changed("e", 1)}, {time.Second, modeler.TopicListed{Topic: modeler.Nodes}}}, true,
+			"nodes listed", []step{{0, changed(1)}, {time.Second, modeler.TopicListed{Topic: modeler.Nodes}}}, true,
 		},
 	}
 	for _, tt := range tests {
@@ -136,10 +136,10 @@
 	apply := func(event modeler.Event) {
 		system.Run(&modeler.Tick{Now: start, Events: []modeler.Event{event}}, world)
 	}
-	apply(changed("e", 1))
+	apply(changed(1))
 	world.Health.Put("e", modeler.Health{}.WithSilence(start))
 	world.Busy.Put("e", start.Add(time.Hour))
-	born := changed("e", 2)
+	born := changed(2)
 	born.Endpoint.Born = 7
 	born.ColdFor = 3 * time.Second
 	apply(born)
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -112,7 +112,7 @@
 		Systems: systems(settings), Executor: &executor{peers: peers, observer: n.observer}, Now: time.Now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	servers, err := n.listen(n.handlers(self, pool))
+	servers, err := n.listen(ctx, n.handlers(self, pool))
 	if err != nil {
 		return errors.Join(err, closePeers())
 	}
--- /dev/null
+++ b/internal/fleet/assembler/node_test.go
@@ -0,0 +1,269 @@
+package assembler_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/assembler"
+	"damaskpick.example/damaskpick/internal/fleet/loader"
+	"damaskpick.example/damaskpick/platform"
+	"damaskpick.example/damaskpick/platform/platformtest"
+)
+
+// site is a small deployment: a store, two engines, two plain endpoints and nodes.
+type site struct {
+	store     *platformtest.Store
+	address   string
+	endpoints []*platformtest.Endpoint
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{store: platformtest.NewStore()}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	s.address = server.Listener.Addr().String()
+	s.store.Put(platform.TopicOperators, "config", platformtest.Configuration(1))
+	for _, e := range []*platformtest.Endpoint{
+		{ID: "engine-1", Service: platformtest.EngineName, DataCentre: "dc-a", Slots: 4, Events: 8, Pause: 5 * time.Millisecond},
+		{ID: "engine-2", Service: platformtest.EngineName, DataCentre: "dc-b", Slots: 4, Events: 8, Pause: 5 * time.Millisecond},
+		{ID: "plain-1", Service: platformtest.PlainName, DataCentre: "dc-a", Slots: 4, Work: 5 * time.Millisecond},
+		{ID: "plain-2", Service: platformtest.PlainName, DataCentre: "dc-b", Slots: 4, Work: 5 * time.Millisecond},
+	} {
+		t.Cleanup(e.Start())
+		s.endpoints = append(s.endpoints, e)
+		s.store.Put(platform.TopicEndpoints, e.ID, e.Entry(e.Address(), "ready"))
+	}
+	return s
+}
+
+// node is a running node.
+type node struct {
+	settings loader.Settings
+	stop     func() error
+}
+
+func (s *site) start(t *testing.T, name, dc string) *node {
+	t.Helper()
+	settings := loader.Settings{
+		Node:   loader.Node{Name: name, IP: "127.0.0.1", DataCentre: dc, Region: "r"},
+		Listen: loader.Listen{Callers: free(t), Ready: free(t), Addresses: free(t), PeerPorts: []int{freeDatagram(t), 65535}},
+		Store:  loader.Store{Address: s.address}, Limits: loader.Limits{MemoryMB: 1000},
+		Bounds: loader.Bounds{
+			GraceSeconds: 3, RetryBudgetRatio: 0.2, RetryBudgetSlack: 100, BudgetWindowSeconds: 10, ColdFactor: 1.5, ColdSlack: 5,
+		},
+		Addresses: loader.Addresses{KeepSeconds: 0.2, LongestKeep: 2}, Log: loader.Log{Level: "info"},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- assembler.Run(ctx, settings, assembler.Process{Out: io.Discard, Reload: make(chan os.Signal), Check: func() error { return nil }})
+	}()
+	n := &node{settings: settings, stop: sync.OnceValue(func() error {
+		cancel()
+		return <-ended
+	})}
+	t.Cleanup(func() { assert.NilError(t, n.stop()) })
+	eventually(t, func() bool { return n.get("http://"+settings.Listen.Ready+platform.ReadyPath) == http.StatusOK })
+	return n
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	return l.Addr().String()
+}
+
+func freeDatagram(t *testing.T) int {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	return conn.LocalAddr().(*net.UDPAddr).Port
+}
+
+func (n *node) get(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+// answer is what a caller got.
+type answer struct {
+	code int
+	body string
+	err  error
+}
+
+func (n *node) call(path, id string) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.settings.Listen.Callers+path, strings.NewReader("payload of "+id))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Host = platformtest.Host
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Key", platformtest.Credential)
+	request.Header.Set("Request-Deadline-Ms", "5000")
+	request.Header.Set("Token-Usage", "5000,100")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{code: response.StatusCode, body: string(body), err: err}
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			t.Fatal("condition was not met within 10 s")
+		}
+	}
+}
+
+func wholeStream() string {
+	var b strings.Builder
+	for n := range 8 {
+		b.WriteString(platformtest.Event(n + 1))
+	}
+	return b.String()
+}
+
+// TestNodesServe guards against a path of the whole system that does not fit together: two nodes, one of which places for both, serve
+// streams and calls, and every request runs once.
+func TestNodesServe(t *testing.T) {
+	s := newSite(t)
+	nodes := []*node{s.start(t, "n1", "dc-a"), s.start(t, "n2", "dc-b")}
+	paths := []struct{ path, want string }{{"/stream/1", wholeStream()}, {"/stock/1", "answers"}, {"/book/1", "answers"}}
+	for i, n := range nodes {
+		for _, p := range paths {
+			id := fmt.Sprintf("r%d%s", i, strings.ReplaceAll(p.path, "/", "-"))
+			eventually(t, func() bool { return n.call(p.path, id).code == http.StatusOK })
+			got := n.call(p.path, id+"-again")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.code, http.StatusOK)
+			assert.Assert(t, strings.Contains(got.body, p.want), "%s", got.body)
+		}
+	}
+	runs := map[string]int{}
+	for _, e := range s.endpoints {
+		for _, run := range e.Runs() {
+			runs[run.Request]++
+			assert.Equal(t, run.Member, platformtest.Member)
+		}
+	}
+	for id, n := range runs {
+		assert.Equal(t, n, 1, "%s", id)
+	}
+	eventually(t, func() bool { return strings.Count(addresses(t, nodes[0]), "127.0.0.1") == 2 })
+}
+
+func addresses(t *testing.T, n *node) string {
+	t.Helper()
+	response, err := http.Get("http://" + n.settings.Listen.Addresses + platform.AddressesPath + "?name=x&region=r&zone=dc-a")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, response.Body.Close()) }()
+	var message struct {
+		Addresses []string `json:"addresses"`
+	}
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&message))
+	return strings.Join(message.Addresses, " ")
+}
+
+// TestOperators guards against operators' changes that do not reach a node.
+func TestOperators(t *testing.T) {
+	s := newSite(t)
+	n := s.start(t, "n1", "dc-a")
+	eventually(t, func() bool { return n.call("/stream/1", "first").code == http.StatusOK })
+	s.store.Put(platform.TopicOperators, "evacuate/dc-a", []byte("{}"))
+	s.store.Compact(platform.TopicOperators)
+	eventually(t, func() bool {
+		before := len(s.endpoints[1].Runs())
+		return n.call("/stream/1", "probe").code == http.StatusOK && len(s.endpoints[1].Runs()) > before
+	})
+	used := len(s.endpoints[0].Runs())
+	for i := range 10 {
+		assert.Equal(t, n.call("/stream/1", fmt.Sprint("evacuated-", i)).code, http.StatusOK)
+	}
+	assert.Equal(t, len(s.endpoints[0].Runs()), used, "the data centre is out of service")
+
+	configuration := strings.ReplaceAll(string(platformtest.Configuration(2)), platformtest.Credential, "another-secret")
+	s.store.Put(platform.TopicOperators, "config", []byte(configuration))
+	eventually(t, func() bool { return n.call("/stock/1", "revoked").code == http.StatusUnauthorized })
+}
+
+// TestStop guards against a stop that cuts a request or refuses callers who have not yet learned of it.
+func TestStop(t *testing.T) {
+	s := newSite(t)
+	s.endpoints[0].Pause, s.endpoints[1].Pause = 150*time.Millisecond, 150*time.Millisecond
+	n := s.start(t, "n1", "dc-a")
+	eventually(t, func() bool { return n.call("/stock/1", "first").code == http.StatusOK })
+	running := make(chan answer, 1)
+	go func() { running <- n.call("/stream/1", "running") }()
+	eventually(t, func() bool { return len(s.endpoints[0].Runs())+len(s.endpoints[1].Runs()) == 1 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.stop() }()
+	eventually(t, func() bool {
+		return n.get("http://"+n.settings.Listen.Ready+platform.ReadyPath) == http.StatusServiceUnavailable
+	})
+	assert.Equal(t, n.call("/stock/1", "late caller").code, http.StatusOK)
+	got := <-running
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wholeStream())
+	assert.NilError(t, <-stopped)
+	assert.Assert(t, n.call("/stock/1", "too late").err != nil)
+}
+
+// TestStoreAway guards against a node that stops serving because the store is away.
+func TestStoreAway(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault platformtest.StoreFault
+	}{
+		{"busy", platformtest.StoreFault{Status: http.StatusServiceUnavailable}},
+		{"silent", platformtest.StoreFault{Silent: true}},
+		{"answers lost", platformtest.StoreFault{LoseAnswers: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t)
+			n := s.start(t, "n1", "dc-a")
+			eventually(t, func() bool { return n.call("/stream/1", "first").code == http.StatusOK })
+			s.store.SetFault(tt.fault)
+			before := s.store.Calls()
+			eventually(t, func() bool { return s.store.Calls() > before })
+			for i := range 5 {
+				assert.Equal(t, n.call("/book/1", fmt.Sprint(i)).code, http.StatusOK)
+				assert.Equal(t, n.call("/stream/1", fmt.Sprint("s", i)).code, http.StatusOK)
+			}
+			s.store.SetFault(platformtest.StoreFault{})
+			s.store.Put(platform.TopicOperators, "config", []byte(strings.ReplaceAll(string(platformtest.Configuration(2)), "/book/", "/later/")))
+			eventually(t, func() bool { return n.call("/later/1", "after").code == http.StatusOK })
+		})
+	}
+}
--- a/internal/fleet/assembler/server.go
+++ b/internal/fleet/assembler/server.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -14,10 +15,10 @@
 }
 
 // listen opens all addresses before any is served.
-func (n *Node) listen(handlers map[string]*paths) ([]server, error) {
+func (n *Node) listen(ctx context.Context, handlers map[string]*paths) ([]server, error) {
 	var servers []server
 	for address, handler := range handlers {
-		l, err := net.Listen("tcp4", address)
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
 		if err != nil {
 			for _, s := range servers {
 				err = errors.Join(err, s.listener.Close())
--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -95,14 +95,22 @@
 	return b.Bytes()
 }
 
+// Answer is the header of an endpoint's answer. Its body is read from the connection, which the Exchange closes.
+type Answer struct {
+	StatusCode int
+	Header     http.Header
+	Body       io.Reader
+}
+
 // Answer reads the header of the answer within timeout. own tells by the header whether an answer belongs to this request; others are
 // passed over.
-func (x *Exchange) Answer(method string, timeout time.Duration, own func(http.Header) bool) (*http.Response, error) {
+func (x *Exchange) Answer(method string, timeout time.Duration, own func(http.Header) bool) (*Answer, error) {
 	if err := x.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
 	}
 	for foreign := 0; ; {
-		response, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: method})
+		// Closing the body would wait for the rest of a stream; Close ends the connection instead.
+		response, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: method}) //nolint:bodyclose // See above.
 		if err != nil {
 			return nil, err
 		}
@@ -111,7 +119,7 @@
 		}
 		if own(response.Header) {
 			x.response = response
-			return response, nil
+			return &Answer{StatusCode: response.StatusCode, Header: response.Header, Body: response.Body}, nil
 		}
 		if foreign++; foreign > maxForeign {
 			return nil, ErrForeign
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -154,11 +154,7 @@
 		if c.dead[id] {
 			continue
 		}
-		var names []modeler.NodeID
-		for _, n := range elector.Alive(world, c.now) {
-			names = append(names, n.ID)
-		}
-		assert.Equal(t, len(names), 10, "%s knows %v", id, names)
+		assert.Equal(t, len(elector.Alive(world, c.now)), 10, "%s", id)
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/follower/follower_test.go
@@ -0,0 +1,119 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/follower"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// answer is what the store says to one call.
+type answer struct {
+	page modeler.Page
+	err  error
+}
+
+// store gives scripted answers and ends the follower after the last one.
+type store struct {
+	reads, lists []answer
+	from         []int64
+	end          context.CancelFunc
+}
+
+func (s *store) Read(ctx context.Context, _ string, from int64, _ time.Duration) (modeler.Page, error) {
+	s.from = append(s.from, from)
+	return s.next(ctx, &s.reads)
+}
+
+func (s *store) Newest(ctx context.Context, _ string) (modeler.Page, error) {
+	return s.next(ctx, &s.lists)
+}
+
+func (s *store) next(ctx context.Context, script *[]answer) (modeler.Page, error) {
+	if len(*script) == 0 {
+		s.end()
+		return modeler.Page{}, ctx.Err()
+	}
+	a := (*script)[0]
+	*script = (*script)[1:]
+	return a.page, a.err
+}
+
+func record(key string, offset int64) modeler.Record {
+	return modeler.Record{Key: key, Value: []byte("v"), Offset: offset}
+}
+
+// TestRun guards against records that are passed over after an error or a deletion, and against unreadable ones that end the following.
+func TestRun(t *testing.T) {
+	busy := errors.New("busy")
+	tests := []struct {
+		name         string
+		reads, lists []answer
+		from         []int64
+		// want names the events in order.
+		want []string
+	}{
+		{
+			"lists, then reads on",
+			[]answer{{page: modeler.Page{Next: 6, Records: []modeler.Record{record("b", 5)}}}},
+			[]answer{{page: modeler.Page{Next: 5, Records: []modeler.Record{record("a", 2)}}}},
+			[]int64{5, 6}, []string{"a", "listed 1", "read 5", "b", "read 6"},
+		},
+		{
+			"goes on after a failed call", []answer{{err: busy}, {page: modeler.Page{Next: 5}}}, []answer{{page: modeler.Page{Next: 5}}},
+			[]int64{5, 5, 5}, []string{"listed 0", "read 5", "failed", "read 5"},
+		},
+		{
+			"lists again after records were deleted", []answer{{err: modeler.TruncatedError{First: 9}}},
+			[]answer{{page: modeler.Page{Next: 5}}, {page: modeler.Page{Next: 9, Records: []modeler.Record{record("c", 8)}}}},
+			[]int64{5, 9}, []string{"listed 0", "read 5", "c", "listed 1", "read 9"},
+		},
+		{
+			"unreadable record", nil, []answer{{page: modeler.Page{Next: 3, Records: []modeler.Record{record("bad", 1), record("a", 2)}}}},
+			[]int64{3}, []string{"unreadable", "a", "listed 2", "read 3"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &store{reads: tt.reads, lists: tt.lists, end: cancel}
+			var got []string
+			f := follower.Follower{
+				Store: s, Post: func(e modeler.Event) { got = append(got, describe(e)) },
+				OnUnreadable: func(modeler.Topic, modeler.Record, error) { got = append(got, "unreadable") },
+				Source: follower.Source{
+					Topic: modeler.Endpoints, Key: func(key string) (string, bool) { return key, true },
+					Decode: func(r modeler.Record) (modeler.Event, error) {
+						if r.Key == "bad" {
+							return nil, errors.New("no")
+						}
+						return modeler.EndpointRemoved{ID: modeler.EndpointID(r.Key)}, nil
+					},
+				},
+			}
+			assert.ErrorIs(t, f.Run(ctx), context.Canceled)
+			assert.DeepEqual(t, got[:min(len(got), len(tt.want))], tt.want)
+			assert.DeepEqual(t, s.from, tt.from)
+		})
+	}
+}
+
+func describe(event modeler.Event) string {
+	switch e := event.(type) {
+	case modeler.EndpointRemoved:
+		return string(e.ID)
+	case modeler.TopicListed:
+		return "listed " + string('0'+rune(len(e.Keys)))
+	case modeler.TopicRead:
+		return "read " + string('0'+rune(e.Next))
+	case modeler.TopicFailed:
+		return "failed"
+	default:
+		return "other"
+	}
+}
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -82,7 +82,7 @@
 }
 
 // drained reads a short answer to its end, so that the connection can be used again.
-func drained(response *http.Response) bool {
+func drained(response *dialer.Answer) bool {
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, answerLimit))
 	return err == nil && n < answerLimit
 }
@@ -139,7 +139,7 @@
 }
 
 // whole passes on an answer that is not a stream, once all of it is there.
-func (f *Forwarder) whole(ctx context.Context, p *progress, x *dialer.Exchange, response *http.Response, sink Sink) (modeler.Outcome, bool) {
+func (f *Forwarder) whole(ctx context.Context, p *progress, x *dialer.Exchange, response *dialer.Answer, sink Sink) (modeler.Outcome, bool) {
 	if err := x.SetReadTimeout(max(time.Until(p.deadline), time.Millisecond)); err != nil {
 		f.mayHaveRun(p)
 		return modeler.Broken, false
@@ -209,7 +209,7 @@
 
 // stream passes on events as they come. Only whole events are passed on, so that another engine can go on after the last one.
 func (f *Forwarder) stream(
-	ctx context.Context, p *progress, plan modeler.Plan, id modeler.RequestID, x *dialer.Exchange, response *http.Response, sink Sink,
+	ctx context.Context, p *progress, plan modeler.Plan, id modeler.RequestID, x *dialer.Exchange, response *dialer.Answer, sink Sink,
 ) (modeler.Outcome, bool) {
 	events := newEventReader(response.Body)
 	started := false
@@ -259,7 +259,7 @@
 	}
 }
 
-func (f *Forwarder) begin(p *progress, response *http.Response, sink Sink) error {
+func (f *Forwarder) begin(p *progress, response *dialer.Answer, sink Sink) error {
 	p.begun = true
 	p.result.First = time.Since(p.call.Arrived)
 	return sink.Begin(response.StatusCode, endToEnd(response.Header), -1)
--- a/internal/fleet/limiter/limiter_test.go
+++ b/internal/fleet/limiter/limiter_test.go
@@ -11,10 +11,13 @@
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
+// window is that of the users' limit.
+const window = 10 * time.Second
+
 // TestBudgetHolds guards against repeats beyond the limit of all nodes in any window, whatever the order of requests and repeats.
 func TestBudgetHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const ratio, slack, window = 0.2, 40.0, 10 * time.Second
+		const ratio, slack = 0.2, 40.0
 		nodes := rapid.IntRange(1, 12).Draw(t, "nodes")
 		now := time.Unix(1000, 0)
 		clock := func() time.Time { return now }
@@ -34,8 +37,8 @@
 				repeats = append(repeats, now)
 			}
 			// The users count the requests of the window or of the one before, whichever has more.
-			within := count(repeats, now, window)
-			allowed := ratio*float64(max(count(requests, now, window), count(requests, now.Add(-window/2), window), count(requests, now.Add(-window), window))) + slack
+			within := count(repeats, now)
+			allowed := ratio*float64(max(count(requests, now), count(requests, now.Add(-window/2)), count(requests, now.Add(-window)))) + slack
 			if float64(within) > allowed {
 				t.Fatalf("%d repeats in a window, %v allowed", within, allowed)
 			}
@@ -43,7 +46,7 @@
 	})
 }
 
-func count(times []time.Time, now time.Time, window time.Duration) int {
+func count(times []time.Time, now time.Time) int {
 	n := 0
 	for _, at := range times {
 		if !at.After(now) && now.Sub(at) < window {
--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -22,10 +22,10 @@
 const (
 	// defaultBodyLimit applies before a configuration states one.
 	defaultBodyLimit = 8 << 20
+	// writeGrace is how long after the time-out of its route an answer may be written to a slow caller.
+	writeGrace = 5 * time.Second
 	// startRetryAfter is told to callers of a node that knows no configuration yet.
 	startRetryAfter = 500 * time.Millisecond
-	// writeGrace is how long after the deadline of a request its answer may be written to a slow caller.
-	writeGrace = 5 * time.Second
 )
 
 // RequestDecoder decodes the header of a caller's request.
@@ -70,15 +70,18 @@
 		c.Observer.Rejected(fields.ID, code, configuration.Version, snapshot.OperatorsAge)
 		return
 	}
-	sink := &responseSink{writer: w, control: http.NewResponseController(w)}
+	sink := &responseSink{writer: w, control: http.NewResponseController(w), until: arrived.Add(call.Route.Timeout + writeGrace)}
 	result := c.Forwarder.Serve(r.Context(), call, sink)
 	c.Observer.Ended(call, result)
+	sink.release()
 	finish(w, result)
 }
 
 func (c *Callers) rejectBody(w http.ResponseWriter, snapshot *modeler.Snapshot, fields modeler.RequestFields, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
 		http.Error(w, "body too large", http.StatusRequestEntityTooLarge)
 		c.Observer.Rejected(fields.ID, http.StatusRequestEntityTooLarge, snapshot.Configuration.Version, snapshot.OperatorsAge)
 		return
@@ -156,6 +159,8 @@
 type responseSink struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
+	// until bounds the writing to a caller that does not read.
+	until time.Time
 }
 
 // Begin implements forwarder.Sink.
@@ -170,6 +175,8 @@
 			target[name] = nil
 		}
 	}
+	// Without support for deadlines, the caller's connection ends with the request at the latest.
+	_ = s.control.SetWriteDeadline(s.until)
 	if length >= 0 {
 		target.Set("Content-Length", strconv.Itoa(length))
 	}
@@ -182,3 +189,6 @@
 
 // Flush implements forwarder.Sink.
 func (s *responseSink) Flush() error { return s.control.Flush() }
+
+// release removes the bound, so that the connection can carry another request.
+func (s *responseSink) release() { _ = s.control.SetWriteDeadline(time.Time{}) }
--- a/internal/fleet/listener/service.go
+++ b/internal/fleet/listener/service.go
@@ -51,7 +51,8 @@
 
 // choose returns the nodes of the caller's data centre, or of its region, or all.
 func choose(snapshot *modeler.Snapshot, query modeler.AddressQuery) []string {
-	var near, region, all []string
+	all := make([]string, 0, len(snapshot.Alive))
+	var near, region []string
 	for _, node := range snapshot.Alive {
 		all = append(all, node.CallerAddress)
 		if node.Region == query.Region {
--- a/internal/fleet/modeler/modeler_test.go
+++ b/internal/fleet/modeler/modeler_test.go
@@ -11,11 +11,9 @@
 
 // TestRoute guards against a request that takes a shorter prefix, another host's route, or a route whose prefix ends inside a segment.
 func TestRoute(t *testing.T) {
-	var routes []modeler.Route
-	for _, r := range []struct{ name, host, prefix string }{
-		{"a", "h1", "/a/"}, {"ab", "h1", "/a/b/"}, {"root", "h2", "/"}, {"a2", "h2", "/a/"},
-	} {
-		routes = append(routes, modeler.Route{Name: r.name, Host: r.host, Prefix: r.prefix})
+	routes := []modeler.Route{
+		{Name: "a", Host: "h1", Prefix: "/a/"}, {Name: "ab", Host: "h1", Prefix: "/a/b/"},
+		{Name: "root", Host: "h2", Prefix: "/"}, {Name: "a2", Host: "h2", Prefix: "/a/"},
 	}
 	c := modeler.NewConfiguration(1, routes, nil, nil, modeler.Limits{})
 	tests := []struct{ host, path, want string }{
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -64,7 +64,7 @@
 			s.cancelled(tick, world, e.ID)
 		case modeler.AttemptStarted:
 			s.started(tick, world, e.ID)
-			s.tellCoordinator(tick, world, modeler.Started{ID: e.ID})
+			s.tellCoordinator(tick, world, modeler.Started(e))
 		case modeler.PeerReceived:
 			s.receive(tick, world, e.Message)
 		}
--- a/internal/fleet/placer/policy_test.go
+++ b/internal/fleet/placer/policy_test.go
@@ -48,7 +48,7 @@
 }
 
 func candidates(loads ...Load) []Candidate {
-	var list []Candidate
+	list := make([]Candidate, 0, len(loads))
 	for i, load := range loads {
 		list = append(list, Candidate{Endpoint: modeler.Endpoint{ID: modeler.EndpointID(fmt.Sprintf("e%d", i)), Slots: 16}, Load: load})
 	}
@@ -94,8 +94,9 @@
 // after the caller has left.
 func TestLengthAwareLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var list []Candidate
-		for i := range rapid.IntRange(0, 20).Draw(t, "engines") {
+		engines := rapid.IntRange(0, 20).Draw(t, "engines")
+		list := make([]Candidate, 0, engines)
+		for i := range engines {
 			load := writing(rapid.IntRange(0, 18).Draw(t, "writers"))
 			load.Memory = modeler.Tokens(rapid.IntRange(0, 405_000).Draw(t, "memory"))
 			load.Backlog = time.Duration(rapid.IntRange(0, 5000).Draw(t, "backlog ms")) * time.Millisecond
