Let the coordinator read the store for all nodes

Ruled out: long polls alone: each record of an endpoint ends the poll of every node. Change: the poller decides when the store is read. Beats say how far and how recently the coordinator knows each topic; changes of endpoints are sent to all nodes; a node reads when it is behind, or when nobody has confirmed what it knows for 1.2 s. An empty answer confirms the end of the time that the store held the call.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -39,6 +39,10 @@
 			s.endpointChanged(tick, world, e)
 		case modeler.EndpointRemoved:
 			s.endpointRemoved(tick, world, e)
+		case modeler.PeerReceived:
+			if news, ok := e.Message.Body.(modeler.EndpointNews); ok {
+				s.news(tick, world, news)
+			}
 		case modeler.TopicListed:
 			s.listed(tick, world, e)
 		case modeler.TopicRead:
@@ -102,6 +106,10 @@
 		next.ColdUntil = tick.Now.Add(e.ColdFor)
 	}
 	current, known := world.Endpoints.Get(next.ID)
+	next.ChangedAt = current.ChangedAt
+	if !known || current.Differs(next) {
+		next.ChangedAt = e.Offset
+	}
 	world.Endpoints.Put(next.ID, next)
 	if !known || current.Born != next.Born || current.Address != next.Address {
 		restart(world, next.ID)
@@ -117,6 +125,18 @@
 	}
 }
 
+// news applies what another node has read. Records of one endpoint only go forward, so that it does not matter who read them.
+func (s *System) news(tick *modeler.Tick, world *modeler.World, news modeler.EndpointNews) {
+	for _, change := range news.Changes {
+		switch e := change.Event().(type) {
+		case modeler.EndpointChanged:
+			s.endpointChanged(tick, world, e)
+		case modeler.EndpointRemoved:
+			s.endpointRemoved(tick, world, e)
+		}
+	}
+}
+
 // restart forgets what was known of an earlier start of the endpoint.
 func restart(world *modeler.World, id modeler.EndpointID) {
 	world.Health.Delete(id)
@@ -177,8 +197,8 @@
 		}})
 	}
 	world.Ends[e.Topic] = max(world.Ends[e.Topic], e.Next)
-	if e.Asked.After(world.ReadAt[e.Topic]) {
-		world.ReadAt[e.Topic] = e.Asked
+	if e.Current.After(world.ReadAt[e.Topic]) {
+		world.ReadAt[e.Topic] = e.Current
 	}
 }
 
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -29,6 +29,7 @@
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/internal/fleet/observer"
 	"damaskpick.example/damaskpick/internal/fleet/placer"
+	"damaskpick.example/damaskpick/internal/fleet/poller"
 	"damaskpick.example/damaskpick/internal/fleet/runner"
 	"damaskpick.example/damaskpick/internal/fleet/watcher"
 	"damaskpick.example/damaskpick/internal/telemetry/logger"
@@ -43,10 +44,6 @@
 	memoryPart = 0.6
 	// idleConnections bounds the idle connections to one endpoint.
 	idleConnections = 16
-	// endpointInterval is the shortest time between two reads of the endpoints' entries, which engines write often.
-	endpointInterval = 300 * time.Millisecond
-	// operatorInterval is the same for what operators write.
-	operatorInterval = 50 * time.Millisecond
 	// stopMargin is the time before the end of the grace period at which the process ends whatever still runs.
 	stopMargin = 250 * time.Millisecond
 	// idleCaller is how long an idle connection of a caller is kept. Callers reuse connections up to four fifths of the operators' limit,
@@ -108,8 +105,9 @@
 		Events: events, Requests: requests, Snapshot: func() *modeler.Snapshot { return n.loop.Snapshot() },
 		Dialed: pool.Dialed, PeerFailures: peers.Failed,
 	})
+	followers := n.followers(store)
 	n.loop = runner.New(modeler.NewWorld(self), runner.Options{
-		Systems: systems(settings), Executor: &executor{peers: peers, observer: n.observer}, Now: time.Now,
+		Systems: systems(settings), Executor: &executor{peers: peers, observer: n.observer, followers: followers}, Now: time.Now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	servers, err := n.listen(ctx, n.handlers(self, pool))
@@ -126,7 +124,7 @@
 	group.Go(func() error {
 		return peers.Receive(func(m modeler.Message) { n.loop.Post(modeler.PeerReceived{Message: m}) })
 	})
-	for _, f := range n.followers(store) {
+	for _, f := range followers {
 		group.Go(func() error { return f.Run(running) })
 	}
 	registrar := follower.Registrar{Store: store, Topic: platform.TopicNodes, Self: self, Post: n.loop.Post}
@@ -159,26 +157,26 @@
 func systems(settings loader.Settings) []modeler.System {
 	return []modeler.System{
 		applier.New(),
+		poller.New(),
 		elector.New(placer.Summaries),
 		watcher.New(),
 		placer.New(placer.Options{ColdFactor: settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack}),
 	}
 }
 
-func (n *Node) followers(store *platform.Store) []*follower.Follower {
+func (n *Node) followers(store *platform.Store) map[modeler.Topic]*follower.Follower {
 	sources := []follower.Source{
 		{
 			Topic: modeler.Operators, Name: platform.TopicOperators, Decode: platform.OperatorRecord, Key: platform.OutDataCentre,
-			Interval: operatorInterval,
 		},
 		{
 			Topic: modeler.Endpoints, Name: platform.TopicEndpoints, Decode: platform.EndpointRecord,
-			Key: func(key string) (string, bool) { return key, true }, Interval: endpointInterval,
+			Key: func(key string) (string, bool) { return key, true },
 		},
 	}
-	followers := make([]*follower.Follower, 0, len(sources))
+	followers := make(map[modeler.Topic]*follower.Follower, len(sources))
 	for _, source := range sources {
-		followers = append(followers, &follower.Follower{Store: store, Source: source, Post: n.loop.Post, OnUnreadable: n.observer.Unreadable})
+		followers[source.Topic] = follower.New(store, source, func(e modeler.Event) { n.loop.Post(e) }, n.observer.Unreadable)
 	}
 	return followers
 }
@@ -233,8 +231,9 @@
 
 // executor carries out the effects of the control goroutine.
 type executor struct {
-	peers    *messenger.Messenger
-	observer *observer.Observer
+	peers     *messenger.Messenger
+	observer  *observer.Observer
+	followers map[modeler.Topic]*follower.Follower
 }
 
 // Execute implements runner.Executor.
@@ -244,6 +243,8 @@
 		case modeler.Send:
 			// A message that is lost is repeated; the messenger counts it.
 			_ = e.peers.Send(effect.To, effect.Message)
+		case modeler.Fetch:
+			e.followers[effect.Topic].Fetch(effect)
 		case modeler.Note:
 			e.observer.Note(effect)
 		}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -220,8 +220,7 @@
 }
 
 func (s *System) message(world *modeler.World) modeler.Message {
-	body := modeler.Beat{Node: world.Self, Coordinates: world.Coordinates()}
-	body.Ends = [2]int64{world.Ends[modeler.Operators], world.Ends[modeler.Endpoints]}
+	body := modeler.Beat{Node: world.Self, Coordinates: world.Coordinates(), Known: world.Known}
 	for _, id := range world.ByNode.Keys(world.Self.ID) {
 		if a, ok := world.Assignments.Get(id); ok {
 			body.Running = append(body.Running, a)
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -25,75 +25,81 @@
 	Decode func(modeler.Record) (modeler.Event, error)
 	// Key returns the identifier that a record of the newest records of the topic is about; false if it has none.
 	Key func(key string) (string, bool)
-	// Interval is the shortest time between two calls.
-	Interval time.Duration
 }
 
 const (
-	// pollWait is how long the store holds a read without records. It bounds how old the answers of a store that fell silent may be
-	// before the node notices.
-	pollWait = time.Second
-	// answerTimeout is how long an answer may take beyond that: the store is slow at times.
+	// answerTimeout is how long an answer may take beyond the time that the store may hold the call: the store is slow at times.
 	answerTimeout = 900 * time.Millisecond
 	// listTimeout bounds the reading of all newest records.
 	listTimeout = 4 * time.Second
-	// minBackoff and maxBackoff bound the pause after a failed call.
+	// minBackoff and maxBackoff bound the pause after a failed call of the registrar.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
 )
 
-// Follower follows one topic.
+// Follower reads one topic when it is asked to.
 type Follower struct {
 	Store  Store
 	Source Source
 	Post   func(modeler.Event)
 	// OnUnreadable is told about records that cannot be decoded.
 	OnUnreadable func(topic modeler.Topic, record modeler.Record, err error)
-	// next is the offset to read from, or negative before the newest records are known.
-	next int64
+
+	requests chan modeler.Fetch
+	// listed is set once the newest records are known.
+	listed bool
+}
+
+// New returns a follower.
+func New(store Store, source Source, post func(modeler.Event), onUnreadable func(modeler.Topic, modeler.Record, error)) *Follower {
+	return &Follower{Store: store, Source: source, Post: post, OnUnreadable: onUnreadable, requests: make(chan modeler.Fetch, 1)}
 }
 
-// Run follows the topic until ctx ends.
+// Fetch asks for a read. It does not wait; a request that comes while another one waits is dropped, since that one reads as far.
+func (f *Follower) Fetch(request modeler.Fetch) {
+	select {
+	case f.requests <- request:
+	default:
+	}
+}
+
+// Run carries out reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.next = -1
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		began := time.Now()
-		err := f.step(ctx, began)
-		pause := f.Source.Interval - time.Since(began)
-		var truncated modeler.TruncatedError
-		switch {
-		case errors.As(err, &truncated):
-			f.next = -1
-			pause = 0
-		case err != nil:
-			f.Post(modeler.TopicFailed{Topic: f.Source.Topic, Reason: err.Error()})
-			pause = backoff
-			backoff = min(2*backoff, maxBackoff)
-		default:
-			backoff = minBackoff
-		}
-		if err := sleep(ctx, pause); err != nil {
-			return err
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case request := <-f.requests:
+			if err := f.read(ctx, request); err != nil {
+				f.Post(modeler.TopicFailed{Topic: f.Source.Topic, Reason: err.Error()})
+			}
 		}
 	}
-	return ctx.Err()
 }
 
-// step makes one call, or several for the newest records.
-func (f *Follower) step(ctx context.Context, began time.Time) error {
-	if f.next < 0 {
+// read makes one call, or several for the newest records.
+func (f *Follower) read(ctx context.Context, request modeler.Fetch) error {
+	began := time.Now()
+	if !f.listed {
 		return f.list(ctx, began)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+answerTimeout)
+	readCtx, cancel := context.WithTimeout(ctx, request.Wait+answerTimeout)
 	defer cancel()
-	page, err := f.Store.Read(ctx, f.Source.Name, f.next, pollWait)
+	page, err := f.Store.Read(readCtx, f.Source.Name, request.From, request.Wait)
+	var truncated modeler.TruncatedError
+	if errors.As(err, &truncated) {
+		return f.list(ctx, began)
+	}
 	if err != nil {
 		return err
 	}
 	f.deliver(page.Records)
-	f.next = page.Next
-	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, Asked: began})
+	current := began
+	if len(page.Records) == 0 {
+		// The store has held the call and then found nothing.
+		current = began.Add(request.Wait)
+	}
+	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, Current: current})
 	return nil
 }
 
@@ -111,9 +117,9 @@
 		}
 	}
 	f.deliver(page.Records)
-	f.Post(modeler.TopicListed{Topic: f.Source.Topic, Keys: keys})
-	f.next = page.Next
-	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, Asked: began})
+	f.Post(modeler.TopicListed{Topic: f.Source.Topic, Keys: keys, End: page.Next})
+	f.listed = true
+	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, Current: began})
 	return nil
 }
 
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -83,19 +83,29 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			s := &store{reads: tt.reads, lists: tt.lists, end: cancel}
 			var got []string
-			f := follower.Follower{
-				Store: s, Post: func(e modeler.Event) { got = append(got, describe(e)) },
-				OnUnreadable: func(modeler.Topic, modeler.Record, error) { got = append(got, "unreadable") },
-				Source: follower.Source{
-					Topic: modeler.Endpoints, Key: func(key string) (string, bool) { return key, true },
-					Decode: func(r modeler.Record) (modeler.Event, error) {
-						if r.Key == "bad" {
-							return nil, errors.New("no")
-						}
-						return modeler.EndpointRemoved{ID: modeler.EndpointID(r.Key)}, nil
-					},
+			source := follower.Source{
+				Topic: modeler.Endpoints, Key: func(key string) (string, bool) { return key, true },
+				Decode: func(r modeler.Record) (modeler.Event, error) {
+					if r.Key == "bad" {
+						return nil, errors.New("no")
+					}
+					return modeler.EndpointRemoved{ID: modeler.EndpointID(r.Key)}, nil
 				},
 			}
+			var f *follower.Follower
+			next := int64(0)
+			post := func(e modeler.Event) {
+				got = append(got, describe(e))
+				switch e := e.(type) {
+				case modeler.TopicRead:
+					next = e.Next
+					f.Fetch(modeler.Fetch{From: next})
+				case modeler.TopicFailed:
+					f.Fetch(modeler.Fetch{From: next})
+				}
+			}
+			f = follower.New(s, source, post, func(modeler.Topic, modeler.Record, error) { got = append(got, "unreadable") })
+			f.Fetch(modeler.Fetch{})
 			assert.ErrorIs(t, f.Run(ctx), context.Canceled)
 			assert.DeepEqual(t, got[:min(len(got), len(tt.want))], tt.want)
 			assert.DeepEqual(t, s.from, tt.from)
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -29,6 +29,8 @@
 		}
 	case *Datagram_Beat:
 		message.Body = decodeBeat(now, body.Beat)
+	case *Datagram_EndpointNews:
+		message.Body = decodeNews(body.EndpointNews)
 	case *Datagram_Digest:
 		message.Body = decodeDigest(body.Digest)
 	default:
@@ -73,7 +75,12 @@
 }
 
 func decodeBeat(now time.Time, b *Beat) modeler.Beat {
-	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), Ends: [2]int64{b.GetOperatorsEnd(), b.GetEndpointsEnd()}}
+	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates()}
+	for i, k := range b.GetKnown() {
+		if i < len(beat.Known) {
+			beat.Known[i] = modeler.Known{End: k.GetEnd(), Material: k.GetMaterial(), Age: microseconds(k.GetAge())}
+		}
+	}
 	for _, a := range b.GetRunning() {
 		assignment := modeler.Assignment{
 			Request: decodeRequest(now, a.GetRequest()), Plan: decodePlan(a.GetPlan()), Placed: now.Add(-microseconds(a.GetAge())),
@@ -86,6 +93,21 @@
 	return beat
 }
 
+func decodeNews(n *EndpointNews) modeler.EndpointNews {
+	news := modeler.EndpointNews{From: n.GetFrom(), Next: n.GetNext()}
+	for _, c := range n.GetChanges() {
+		news.Changes = append(news.Changes, modeler.EndpointChange{
+			Endpoint: modeler.Endpoint{
+				ID: modeler.EndpointID(c.GetId()), Service: modeler.ServiceID(c.GetService()), Address: c.GetAddress(),
+				DataCentre: modeler.DataCentreID(c.GetDataCentre()), Slots: int(c.GetSlots()), Draining: c.GetDraining(), Born: c.GetBorn(),
+				Sequence: c.GetSequence(),
+			},
+			ColdFor: microseconds(c.GetColdFor()), Offset: c.GetOffset(), Removed: c.GetRemoved(), Unreadable: c.GetUnreadable(),
+		})
+	}
+	return news
+}
+
 func decodeDigest(d *Digest) modeler.Digest {
 	digest := modeler.Digest{Loads: make(map[modeler.EndpointID]modeler.LoadSummary, len(d.GetLoads()))}
 	for _, n := range d.GetAlive() {
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -27,6 +27,8 @@
 		}}
 	case modeler.Beat:
 		d.Body = &Datagram_Beat{Beat: encodeBeat(now, body)}
+	case modeler.EndpointNews:
+		d.Body = &Datagram_EndpointNews{EndpointNews: encodeNews(body)}
 	case modeler.Digest:
 		d.Body = &Datagram_Digest{Digest: encodeDigest(body)}
 	}
@@ -63,7 +65,10 @@
 }
 
 func encodeBeat(now time.Time, body modeler.Beat) *Beat {
-	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates, OperatorsEnd: body.Ends[0], EndpointsEnd: body.Ends[1]}
+	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates}
+	for _, k := range body.Known {
+		beat.Known = append(beat.Known, &Known{End: k.End, Material: k.Material, Age: k.Age.Microseconds()})
+	}
 	for _, a := range body.Running {
 		beat.Running = append(beat.Running, &Assignment{
 			Request: encodeRequest(now, a.Request), Plan: encodePlan(a.Plan), Age: now.Sub(a.Placed).Microseconds(), Started: !a.Started.IsZero(),
@@ -72,6 +77,19 @@
 	return beat
 }
 
+func encodeNews(body modeler.EndpointNews) *EndpointNews {
+	news := &EndpointNews{From: body.From, Next: body.Next}
+	for _, c := range body.Changes {
+		e := c.Endpoint
+		news.Changes = append(news.Changes, &EndpointChange{
+			Id: string(e.ID), Service: string(e.Service), Address: e.Address, DataCentre: string(e.DataCentre), Slots: int32(e.Slots),
+			Draining: e.Draining, Born: e.Born, Sequence: e.Sequence, ColdFor: c.ColdFor.Microseconds(), Offset: c.Offset,
+			Removed: c.Removed, Unreadable: c.Unreadable,
+		})
+	}
+	return news
+}
+
 func encodeDigest(body modeler.Digest) *Digest {
 	digest := &Digest{}
 	for _, n := range body.Alive {
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -47,8 +47,15 @@
 		{"started", modeler.Started{ID: "r"}},
 		{"ended", modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Garbled, Fingerprint: 1<<64 - 1}},
 		{"beat", modeler.Beat{
-			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithStarted(now)}, Ends: [2]int64{4, 5},
+			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithStarted(now)}, Known: [2]modeler.Known{{End: 4, Material: 3, Age: time.Second}, {End: 9}},
 		}},
+		{"endpoint news", modeler.EndpointNews{From: 3, Next: 9, Changes: []modeler.EndpointChange{
+			{
+				Endpoint: modeler.Endpoint{ID: "e", Service: "s", Address: "a", DataCentre: "dc", Slots: 6, Draining: true, Born: 7, Sequence: 8},
+				ColdFor:  time.Second, Offset: 4,
+			},
+			{Endpoint: modeler.Endpoint{ID: "f"}, Offset: 5, Removed: true, Unreadable: true},
+		}}},
 		{"digest", modeler.Digest{
 			Alive: []modeler.Node{node()}, Quarantined: []modeler.Fingerprint{9},
 			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
--- a/internal/fleet/modeler/endpoint.go
+++ b/internal/fleet/modeler/endpoint.go
@@ -21,6 +21,8 @@
 	Born int64
 	// Sequence is the endpoint's count of orders.
 	Sequence int64
+	// ChangedAt is the offset of the record that last changed more than Sequence.
+	ChangedAt int64
 	// MissingSince is set while the entry has vanished from the store and the store itself was disturbed.
 	MissingSince time.Time
 }
@@ -37,6 +39,12 @@
 	return e
 }
 
+// Differs tells whether another entry of the endpoint says something new about it, beside its cold start and its count of orders.
+func (e Endpoint) Differs(next Endpoint) bool {
+	return e.Service != next.Service || e.Address != next.Address || e.DataCentre != next.DataCentre || e.Slots != next.Slots ||
+		e.Draining != next.Draining || e.Born != next.Born || !e.MissingSince.IsZero()
+}
+
 // Cold tells whether the endpoint is in cold start.
 func (e Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -49,12 +49,14 @@
 	TopicListed struct {
 		Topic Topic
 		Keys  map[string]bool
+		// End is the end of the topic when the listing began.
+		End int64
 	}
-	// TopicRead says that everything before Next was read by a call that began at Asked.
+	// TopicRead says that everything before Next was read, and that nothing followed it at the time Current.
 	TopicRead struct {
-		Topic Topic
-		Next  int64
-		Asked time.Time
+		Topic   Topic
+		Next    int64
+		Current time.Time
 	}
 	// TopicFailed says that a call to the store failed.
 	TopicFailed struct {
@@ -140,6 +142,13 @@
 		To      Node
 		Message Message
 	}
+	// Fetch reads a topic from an offset on. It is answered by events of the records, then TopicRead or TopicFailed. A node that has not
+	// read the topic before lists its newest records instead.
+	Fetch struct {
+		Topic Topic
+		From  int64
+		Wait  time.Duration
+	}
 	// Note is a line of the log.
 	Note struct {
 		Name    string
@@ -156,4 +165,5 @@
 
 func (Reply) effect() {}
 func (Send) effect()  {}
+func (Fetch) effect() {}
 func (Note) effect()  {}
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -38,8 +38,13 @@
 		// Coordinates is set if the sender places requests for others.
 		Coordinates bool
 		Running     []Assignment
-		// Ends are the offsets up to which the sender has read Operators and Endpoints, if it did so just now; else zero.
-		Ends [2]int64
+		// Known says what the sender knows of Operators and Endpoints.
+		Known [2]Known
+	}
+	// EndpointNews passes on changes of endpoints: all that is new between two offsets.
+	EndpointNews struct {
+		From, Next int64
+		Changes    []EndpointChange
 	}
 	// Digest is what the coordinator knows.
 	Digest struct {
@@ -50,13 +55,38 @@
 	}
 )
 
-func (Ask) messageBody()     {}
-func (Queued) messageBody()  {}
-func (Granted) messageBody() {}
-func (Started) messageBody() {}
-func (Ended) messageBody()   {}
-func (Beat) messageBody()    {}
-func (Digest) messageBody()  {}
+func (Ask) messageBody()          {}
+func (Queued) messageBody()       {}
+func (Granted) messageBody()      {}
+func (Started) messageBody()      {}
+func (Ended) messageBody()        {}
+func (Beat) messageBody()         {}
+func (EndpointNews) messageBody() {}
+func (Digest) messageBody()       {}
+
+// Known says how far and how recently a node knows a topic.
+type Known struct {
+	// End is the offset up to which everything is known, and Material the end of the last record that changed something.
+	End, Material int64
+	// Age is how long ago that was current.
+	Age time.Duration
+}
+
+// EndpointChange is a record of an endpoint as another node has read it.
+type EndpointChange struct {
+	Endpoint            Endpoint
+	ColdFor             time.Duration
+	Offset              int64
+	Removed, Unreadable bool
+}
+
+// Event returns the change as an event of the store.
+func (c EndpointChange) Event() Event {
+	if c.Removed {
+		return EndpointRemoved{ID: c.Endpoint.ID, Offset: c.Offset, Unreadable: c.Unreadable}
+	}
+	return EndpointChanged{Endpoint: c.Endpoint, ColdFor: c.ColdFor, Offset: c.Offset}
+}
 
 // Forwarded is the row of a request whose place another node decides.
 type Forwarded struct {
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -46,6 +46,8 @@
 	Ends     [3]int64
 	ReadAt   [3]time.Time
 	FailedAt [3]time.Time
+	// Known is what this node can tell others of Operators and Endpoints.
+	Known [2]Known
 }
 
 // NewWorld returns empty tables.
--- /dev/null
+++ b/internal/fleet/poller/poller.go
@@ -0,0 +1,207 @@
+// Package poller decides when this node reads the store. Calls to the store are priced and limited over all nodes, so that one node, the
+// coordinator, reads all the time and tells the others; they read when they hear of something new, or nothing at all.
+package poller
+
+import (
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/elector"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+const (
+	// pollWait is how long the store holds a read without records. Together with the interval of beats it stays below maxAge.
+	pollWait = 600 * time.Millisecond
+	// maxAge is the age of what a node knows at which it reads for itself. With one beat and one read it stays below the two seconds in
+	// which operators' changes and leaving endpoints must be known.
+	maxAge = 1200 * time.Millisecond
+	// vouchAge is the age at which the coordinator's word still counts.
+	vouchAge = time.Second
+	// endpointInterval is the shortest time between two reads of the endpoints' entries, which engines write often.
+	endpointInterval = 300 * time.Millisecond
+	// operatorInterval is the same for what operators write.
+	operatorInterval = 50 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed read.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+	// fetchTimeout is when a read that did not report back counts as lost.
+	fetchTimeout = 6 * time.Second
+)
+
+// topics are those that change while a node runs.
+var topics = [...]modeler.Topic{modeler.Operators, modeler.Endpoints}
+
+// reading is the state of one topic.
+type reading struct {
+	// asked is when a read began that has not reported back; zero if none runs.
+	asked time.Time
+	// next is the earliest time of the next read.
+	next    time.Time
+	backoff time.Duration
+	// target is the offset that another node has read up to.
+	target int64
+	// confirmed is when what this node knows was last known to be current.
+	confirmed time.Time
+	listed    bool
+}
+
+// System decides when topics are read and passes on changes of endpoints.
+type System struct {
+	readings [len(topics)]reading
+	// changes holds the changes of endpoints since the last message to other nodes, which covered everything before sent.
+	changes []modeler.EndpointChange
+	sent    int64
+	// material is the end of the last record of an endpoint that changed something.
+	material int64
+}
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run implements modeler.System. It runs after the applier.
+func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
+	for _, event := range tick.Events {
+		switch e := event.(type) {
+		case modeler.TopicRead:
+			s.read(e)
+		case modeler.TopicFailed:
+			s.failed(tick.Now, e)
+		case modeler.TopicListed:
+			if e.Topic == modeler.Endpoints {
+				// Keys that were dropped are not among the newest records, so that any record before may have changed something.
+				s.material = max(s.material, e.End)
+			}
+		case modeler.EndpointChanged:
+			s.changed(world, modeler.EndpointChange{Endpoint: e.Endpoint, ColdFor: e.ColdFor, Offset: e.Offset})
+		case modeler.EndpointRemoved:
+			s.changed(world, modeler.EndpointChange{
+				Endpoint: modeler.Endpoint{ID: e.ID}, Offset: e.Offset, Removed: true, Unreadable: e.Unreadable,
+			})
+		case modeler.PeerReceived:
+			s.receive(tick, world, e.Message)
+		}
+	}
+	s.tell(tick, world)
+	for i, topic := range topics {
+		s.fetch(tick, world, topic, &s.readings[i])
+	}
+	s.publish(tick.Now, world)
+}
+
+func (s *System) read(e modeler.TopicRead) {
+	if int(e.Topic) >= len(s.readings) {
+		return
+	}
+	r := &s.readings[e.Topic]
+	r.asked, r.backoff, r.listed = time.Time{}, 0, true
+	if e.Current.After(r.confirmed) {
+		r.confirmed = e.Current
+	}
+}
+
+func (s *System) failed(now time.Time, e modeler.TopicFailed) {
+	if int(e.Topic) >= len(s.readings) {
+		return
+	}
+	r := &s.readings[e.Topic]
+	r.asked = time.Time{}
+	r.backoff = min(max(2*r.backoff, minBackoff), maxBackoff)
+	r.next = now.Add(r.backoff)
+}
+
+// changed collects a change for other nodes. Entries that repeat what is known are not passed on.
+func (s *System) changed(world *modeler.World, change modeler.EndpointChange) {
+	known, ok := world.Endpoints.Get(change.Endpoint.ID)
+	if !change.Removed && ok && !s.differs(known, change) {
+		return
+	}
+	s.changes = append(s.changes, change)
+	s.material = max(s.material, change.Offset+1)
+}
+
+// differs tells whether an entry says something that this node has not passed on. The applier has taken it over already, so that only what
+// it remembers of the time before can tell; cold endpoints are always passed on.
+func (s *System) differs(known modeler.Endpoint, change modeler.EndpointChange) bool {
+	return known.ChangedAt == change.Offset || change.ColdFor > 0
+}
+
+// tell sends changes of endpoints to all nodes.
+func (s *System) tell(tick *modeler.Tick, world *modeler.World) {
+	end := world.Ends[modeler.Endpoints]
+	if len(s.changes) > 0 && world.Coordinates() && s.sent > 0 {
+		body := modeler.EndpointNews{From: s.sent, Next: end, Changes: s.changes}
+		message := modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: body}
+		for _, node := range world.Nodes.All() {
+			if elector.Live(node, tick.Now) {
+				tick.Emit(modeler.Send{To: node, Message: message})
+			}
+		}
+	}
+	s.changes, s.sent = nil, end
+}
+
+// receive takes over what another node has read.
+func (s *System) receive(tick *modeler.Tick, world *modeler.World, message modeler.Message) {
+	switch body := message.Body.(type) {
+	case modeler.EndpointNews:
+		if world.Ends[modeler.Endpoints] >= body.From {
+			world.Ends[modeler.Endpoints] = max(world.Ends[modeler.Endpoints], body.Next)
+		}
+		s.material = max(s.material, body.Next)
+	case modeler.Beat:
+		for i, topic := range topics {
+			known := body.Known[i]
+			r := &s.readings[i]
+			r.target = max(r.target, known.Material)
+			if !r.listed || known.Age > vouchAge || world.Ends[topic] < known.Material {
+				continue
+			}
+			world.Ends[topic] = max(world.Ends[topic], known.End)
+			if topic == modeler.Endpoints {
+				s.material = max(s.material, known.Material)
+			}
+			if confirmed := tick.Now.Add(-known.Age); confirmed.After(r.confirmed) {
+				r.confirmed = confirmed
+			}
+		}
+	}
+}
+
+// fetch begins a read if one is due.
+func (s *System) fetch(tick *modeler.Tick, world *modeler.World, topic modeler.Topic, r *reading) {
+	if !r.asked.IsZero() && tick.Now.Sub(r.asked) < fetchTimeout {
+		return
+	}
+	behind := r.target > world.Ends[topic]
+	old := tick.Now.Sub(r.confirmed) >= maxAge
+	alone := world.Coordinates() || world.Coordinator == ""
+	if !behind && !old && !alone {
+		tick.WakeAt(r.confirmed.Add(maxAge))
+		return
+	}
+	if tick.Now.Before(r.next) {
+		tick.WakeAt(r.next)
+		return
+	}
+	interval := operatorInterval
+	if topic == modeler.Endpoints {
+		interval = endpointInterval
+	}
+	wait := pollWait
+	if behind {
+		wait = 0
+	}
+	r.asked, r.next = tick.Now, tick.Now.Add(interval)
+	tick.Emit(modeler.Fetch{Topic: topic, From: world.Ends[topic], Wait: wait})
+}
+
+// publish tells the other systems what this node can vouch for.
+func (s *System) publish(now time.Time, world *modeler.World) {
+	for i, topic := range topics {
+		known := modeler.Known{End: world.Ends[topic], Material: world.Ends[topic], Age: now.Sub(s.readings[i].confirmed)}
+		if topic == modeler.Endpoints {
+			known.Material = min(s.material, known.End)
+		}
+		world.Known[i] = known
+	}
+}
