Never quarantine requests without a body; an answer clears strikes

Cause: GET requests share the empty fingerprint. TestStrikes/no_fingerprint and /answered_between fail without the change. Ruled out: overload of the plain service, whose slots were free. Change: NoFingerprint gathers no strikes; an answered request loses its strikes.

--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -121,7 +121,7 @@
 // fingerprint recognises a request that a caller repeats. Requests without a body are too alike to tell apart and get none.
 func fingerprint(path string, member modeler.MemberID, body []byte) modeler.Fingerprint {
 	if len(body) == 0 {
-		return 0
+		return modeler.NoFingerprint
 	}
 	var digest xxhash.Digest
 	digest.Reset()
--- a/internal/fleet/modeler/identity.go
+++ b/internal/fleet/modeler/identity.go
@@ -20,5 +20,8 @@
 	Fingerprint uint64
 )
 
+// NoFingerprint stands for requests that are too alike to be recognised.
+const NoFingerprint Fingerprint = 0
+
 // Tokens counts tokens of prompts and answers.
 type Tokens int64
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -80,6 +80,7 @@
 	switch e.Outcome {
 	case modeler.Answered:
 		health = health.WithSuccess(tick.Now)
+		world.Strikes.Delete(e.Fingerprint)
 	case modeler.Abandoned, modeler.Shed:
 		return
 	case modeler.Failed, modeler.Garbled:
@@ -88,8 +89,10 @@
 		health = health.WithMisdirected()
 	case modeler.Broken:
 		health = health.WithError(tick.Now)
-		strikes, _ := world.Strikes.Get(e.Fingerprint)
-		world.Strikes.Put(e.Fingerprint, strikes.WithStrike(tick.Now))
+		if e.Fingerprint != modeler.NoFingerprint {
+			strikes, _ := world.Strikes.Get(e.Fingerprint)
+			world.Strikes.Put(e.Fingerprint, strikes.WithStrike(tick.Now))
+		}
 	case modeler.Unreachable:
 		health = health.WithSilence(tick.Now)
 	case modeler.Silent:
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -73,6 +73,35 @@
 	assert.Assert(t, learned.Quarantined(start))
 }
 
+// TestStrikes guards against requests that are refused because others like them were broken off: those without a body are not told apart, and
+// one that was answered crashes nothing.
+func TestStrikes(t *testing.T) {
+	tests := []struct {
+		name        string
+		fingerprint modeler.Fingerprint
+		outcomes    []modeler.Outcome
+		want        bool
+	}{
+		{"three breaks", 7, []modeler.Outcome{modeler.Broken, modeler.Broken, modeler.Broken}, true},
+		{"no fingerprint", modeler.NoFingerprint, []modeler.Outcome{modeler.Broken, modeler.Broken, modeler.Broken, modeler.Broken}, false},
+		{"answered between", 7, []modeler.Outcome{modeler.Broken, modeler.Broken, modeler.Answered, modeler.Broken}, false},
+		{"other failures", 7, []modeler.Outcome{modeler.Failed, modeler.Silent, modeler.Unreachable, modeler.Garbled}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			world.Endpoints.Put("e", modeler.Endpoint{ID: "e"})
+			for _, outcome := range tt.outcomes {
+				body := modeler.Ended{ID: "r", Endpoint: "e", Outcome: outcome, Fingerprint: tt.fingerprint}
+				event := modeler.PeerReceived{Message: modeler.Message{From: "m", Body: body}}
+				watcher.New().Run(&modeler.Tick{Now: start, Events: []modeler.Event{event}}, world)
+			}
+			strikes, _ := world.Strikes.Get(tt.fingerprint)
+			assert.Equal(t, strikes.Quarantined(start), tt.want)
+		})
+	}
+}
+
 // TestEndIsTold guards against a coordinator that takes the place of an ended request for used.
 func TestEndIsTold(t *testing.T) {
 	world := modeler.NewWorld(modeler.Node{ID: "n"})
