Serve prompts beyond the memory of one engine with reservations

Ruled out: one long reservation: a node that is killed would leave memory behind for longer than the four seconds after which it counts as lost. Tests: no reservation is left however a request ends; parts fit the engines.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -95,6 +95,8 @@
 	defer closeStore()
 	pool, closePool := dialer.NewPool(idleConnections)
 	defer closePool()
+	orders, closeOrders := platform.NewOrders()
+	defer closeOrders()
 
 	n := &Node{settings: settings}
 	self := modeler.Node{
@@ -110,7 +112,7 @@
 		Systems: systems(settings), Executor: &executor{peers: peers, observer: n.observer, followers: followers}, Now: time.Now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	servers, err := n.listen(ctx, n.handlers(self, pool))
+	servers, err := n.listen(ctx, n.handlers(self, pool, orders))
 	if err != nil {
 		return errors.Join(err, closePeers())
 	}
@@ -252,11 +254,11 @@
 }
 
 // handlers returns the handler of each address. Interfaces that share an address share a handler.
-func (n *Node) handlers(self modeler.Node, pool *dialer.Pool) map[string]*paths {
+func (n *Node) handlers(self modeler.Node, pool *dialer.Pool, orders *platform.Orders) map[string]*paths {
 	bounds := n.settings.Bounds
 	traffic := platform.Traffic{}
 	forward := &forwarder.Forwarder{
-		Control: n.loop, Protocol: traffic, Pool: pool, Self: self, OnRetry: n.observer.Retried,
+		Control: n.loop, Protocol: traffic, Pool: pool, Memory: orders, Self: self, OnRetry: n.observer.Retried,
 		Budget: limiter.NewBudget(limiter.Options{
 			Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack, Window: loader.Seconds(bounds.BudgetWindowSeconds),
 		}, time.Now),
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -42,7 +42,12 @@
 			f.Pool.Forget(plan.Endpoint.Address)
 		}
 	}()
-	x, err := f.Pool.Send(ctx, plan.Endpoint.Address, f.outgoing(p, plan))
+	reserved, err := f.reserve(ctx, id, plan)
+	if err != nil {
+		return f.failure(ctx, p, err, modeler.Shed)
+	}
+	defer reserved.release()
+	x, err := f.Pool.Send(ctx, plan.Endpoint.Address, f.outgoing(p, plan, reserved))
 	if err != nil {
 		var failed dialer.SendError
 		if errors.As(err, &failed) && failed.Sent {
@@ -93,12 +98,10 @@
 	p.mayRun = true
 }
 
-func (f *Forwarder) outgoing(p *progress, plan modeler.Plan) dialer.Outgoing {
+func (f *Forwarder) outgoing(p *progress, plan modeler.Plan, reserved *tickets) dialer.Outgoing {
 	attempt := modeler.AttemptFields{
 		Endpoint: plan.Endpoint.ID, Member: p.call.Member.ID, Timeout: time.Until(p.deadline), LastEvent: p.lastEvent,
-	}
-	for _, h := range plan.Helpers {
-		attempt.Helpers = append(attempt.Helpers, modeler.Helper{Address: h.Address})
+		Helpers: reserved.helpers(plan),
 	}
 	return dialer.Outgoing{
 		Method: p.call.Method, URI: p.call.URI, Host: p.call.Host, Header: f.Protocol.AttemptHeader(p.call.Header, attempt), Body: p.call.Body,
@@ -127,7 +130,7 @@
 		return modeler.Abandoned
 	case errors.Is(err, dialer.ErrForeign):
 		return modeler.Garbled
-	case errors.As(err, &timeout) && timeout.Timeout() && broken != modeler.Unreachable:
+	case errors.As(err, &timeout) && timeout.Timeout() && broken == modeler.Broken:
 		if waited < time.Duration(silenceTargets*float64(p.call.Route.Target)) {
 			// The caller's time was too short to say anything about the endpoint.
 			return modeler.Abandoned
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -97,6 +97,7 @@
 	Control  Control
 	Protocol Protocol
 	Pool     *dialer.Pool
+	Memory   Memory
 	Budget   *limiter.Budget
 	Self     modeler.Node
 	// OnRetry is told about each attempt after the first one.
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -269,6 +269,95 @@
 	}
 }
 
+// memory records orders; it refuses tickets of one endpoint.
+type memory struct {
+	mu       sync.Mutex
+	full     modeler.EndpointID
+	reserved map[string]bool
+	renewals int
+	released map[string]bool
+}
+
+func (m *memory) Reserve(_ context.Context, e modeler.Endpoint, ticket string, _ modeler.Tokens, _ time.Duration) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e.ID == m.full {
+		return platform.StatusError{Status: http.StatusConflict}
+	}
+	if m.reserved[ticket] {
+		m.renewals++
+	}
+	m.reserved[ticket] = true
+	return nil
+}
+
+func (m *memory) Release(_ context.Context, _ modeler.Endpoint, ticket string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.released[ticket] = true
+	return nil
+}
+
+// allReleased tells whether no reservation is left.
+func (m *memory) allReleased() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for ticket := range m.reserved {
+		if !m.released[ticket] {
+			return false
+		}
+	}
+	return true
+}
+
+// holding places every request on the first endpoint, with a part at the second.
+type holding struct{ *control }
+
+func (h holding) Place(ctx context.Context, request modeler.Request) (modeler.Decision, error) {
+	decision, err := h.control.Place(ctx, request)
+	if !decision.Refused {
+		decision.Plan.Helpers, decision.Plan.Held = h.endpoints[1:2], []modeler.Tokens{300_000}
+	}
+	return decision, err
+}
+
+// TestTickets guards against memory that stays set aside after a request has ended, however it ended, and against a prompt that is sent
+// though its memory is not there.
+func TestTickets(t *testing.T) {
+	tests := []struct {
+		name   string
+		full   modeler.EndpointID
+		fault  platformtest.EndpointFault
+		pause  time.Duration
+		status forwarder.Status
+		runs   int
+		renews bool
+	}{
+		{name: "served", status: forwarder.Delivered, runs: 1},
+		{name: "renewed while it runs", pause: 250 * time.Millisecond, status: forwarder.Delivered, runs: 1, renews: true},
+		{name: "memory not free", full: "e2", status: forwarder.Refused, runs: 0},
+		{name: "cut", fault: platformtest.EndpointFault{CutAfter: 1}, status: forwarder.Interrupted, runs: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(t, 0)
+			m := &memory{full: tt.full, reserved: map[string]bool{}, released: map[string]bool{}}
+			b.forward.Control, b.forward.Memory = holding{b.control}, m
+			b.first.Pause = tt.pause
+			b.first.SetFault(tt.fault)
+			result := b.forward.Serve(t.Context(), call(modeler.Stream, "/stream/1"), &sink{})
+			assert.Equal(t, result.Status, tt.status)
+			runs := b.first.Runs()
+			assert.Equal(t, len(runs), tt.runs)
+			if tt.runs > 0 {
+				assert.Equal(t, runs[0].Helpers, b.second.Address()+"/r1-0-0-0")
+			}
+			waitFor(t, m.allReleased)
+			assert.Equal(t, m.renewals > 0, tt.renews)
+		})
+	}
+}
+
 // TestRefusalIsPassedOn guards against a refusal that loses its reason or the time to come back.
 func TestRefusalIsPassedOn(t *testing.T) {
 	b := newBed(t, 0)
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -64,6 +64,9 @@
 	for _, h := range p.GetHelpers() {
 		plan.Helpers = append(plan.Helpers, modeler.Endpoint{ID: modeler.EndpointID(h)})
 	}
+	for _, h := range p.GetHeld()[:min(len(p.GetHeld()), len(plan.Helpers))] {
+		plan.Held = append(plan.Held, modeler.Tokens(h))
+	}
 	return plan
 }
 
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -54,7 +54,11 @@
 	for _, h := range p.Helpers {
 		helpers = append(helpers, string(h.ID))
 	}
-	return &Plan{Endpoint: string(p.Endpoint.ID), Helpers: helpers, Part: p.Part.Microseconds(), First: p.First.Microseconds(), Late: p.Late}
+	held := make([]int64, 0, len(p.Held))
+	for _, h := range p.Held {
+		held = append(held, int64(h))
+	}
+	return &Plan{Endpoint: string(p.Endpoint.ID), Helpers: helpers, Held: held, Part: p.Part.Microseconds(), First: p.First.Microseconds(), Late: p.Late}
 }
 
 func encodeNode(n modeler.Node) *Node {
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -77,6 +77,9 @@
 	Endpoint Endpoint
 	// Helpers process a part of the prompt each. It must not be changed.
 	Helpers []Endpoint
+	// Held is the memory that each helper sets aside for the prompt, in the order of Helpers. It is empty for prompts that fit the first
+	// engine, and must not be changed.
+	Held []Tokens
 	// Part is the time that each engine of the plan needs for its part of the prompt.
 	Part time.Duration
 	// First is the expected time from placement to the first event.
@@ -85,6 +88,25 @@
 	Late bool
 }
 
+// HeldAt returns the memory that an endpoint holds for the prompt as a helper.
+func (p Plan) HeldAt(id EndpointID) Tokens {
+	for i, held := range p.Held {
+		if p.Helpers[i].ID == id {
+			return held
+		}
+	}
+	return 0
+}
+
+// HeldElsewhere is the memory that helpers hold together.
+func (p Plan) HeldElsewhere() Tokens {
+	var sum Tokens
+	for _, held := range p.Held {
+		sum += held
+	}
+	return sum
+}
+
 // Engines returns the endpoints that process the prompt.
 func (p Plan) Engines() []Endpoint { return append([]Endpoint{p.Endpoint}, p.Helpers...) }
 
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -43,7 +43,7 @@
 	if strikes, _ := world.Strikes.Get(request.Fingerprint); strikes.Quarantined(tick.Now) {
 		return refusal(modeler.ReasonQuarantined, maxRetryAfter), true
 	}
-	if service.IsEngine() && service.Engine.Memory > 0 && request.Total() > service.Engine.Memory {
+	if service.IsEngine() && service.Engine.Memory > 0 && request.Total() > largest(service.Engine) {
 		return refusal(modeler.ReasonTooLarge, maxRetryAfter), true
 	}
 	candidates := s.candidates(tick.Now, world, service, request)
@@ -65,6 +65,12 @@
 	return modeler.Decision{}, false
 }
 
+// largest is the size of the largest request that engines can hold together, when a part of each one's memory serves other requests.
+func largest(profile modeler.EngineProfile) modeler.Tokens {
+	const freePart = 0.7
+	return modeler.Tokens(freePart * float64(profile.Memory) * maxEngines)
+}
+
 func refusal(reason modeler.RefusalReason, after time.Duration) modeler.Decision {
 	return modeler.Decision{Refused: true, Reason: reason, RetryAfter: after}
 }
--- a/internal/fleet/placer/load.go
+++ b/internal/fleet/placer/load.go
@@ -55,14 +55,21 @@
 			}
 			load.readers = append(load.readers, reader{first: first, due: a.Request.Due.Sub(now), weight: weight(a.Request)})
 		}
+		writes := !a.Started.IsZero() && profile.ReadRate > 0
 		if a.Plan.Endpoint.ID != endpoint {
+			held := a.Plan.HeldAt(endpoint)
+			load.Memory += held
+			if writes && held > 0 {
+				load.writers = append(load.writers, writer{gap: a.Request.Gap, weight: weight(a.Request)})
+				load.Pass += profile.WriterPass(held)
+			}
 			continue
 		}
 		load.Running++
-		load.Memory += a.Request.Total()
-		if !a.Started.IsZero() && profile.ReadRate > 0 {
+		load.Memory += a.Request.Total() - a.Plan.HeldElsewhere()
+		if writes {
 			load.writers = append(load.writers, writer{gap: a.Request.Gap, weight: weight(a.Request)})
-			load.Pass += profile.WriterPass(a.Request.Prompt)
+			load.Pass += profile.WriterPass(a.Request.Prompt - a.Plan.HeldElsewhere())
 		}
 	}
 	if !world.Coordinates() {
--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -131,8 +131,8 @@
 	// request generating there.
 	harm, risk, running float64
 	ready               time.Duration
-	// free is set if the engine has a slot and the memory to run the request.
-	free bool
+	// free is set if the engine has a slot and the memory to run the request, holds if it has the memory for a helper's part.
+	free, holds bool
 }
 
 // rank orders engines for a part: by harm, and by when they would be done among equals.
@@ -157,10 +157,19 @@
 	return best, found
 }
 
+// held returns the memory that each helper holds when a prompt that exceeds the memory of one engine is spread over several.
+func (p LengthAware) held(request modeler.Request, engines int) modeler.Tokens {
+	if p.Profile.Memory == 0 || request.Total() <= p.Profile.Memory {
+		return 0
+	}
+	return (request.Prompt + modeler.Tokens(engines) - 1) / modeler.Tokens(engines)
+}
+
 func (p LengthAware) propose(now time.Time, request modeler.Request, candidates []Candidate, engines int, part time.Duration) (Proposal, bool) {
+	held := p.held(request, engines)
 	options := make([]option, 0, len(candidates))
 	for i, c := range candidates {
-		options = append(options, p.option(request, c, i, part))
+		options = append(options, p.option(request, c, i, part, held, engines))
 	}
 	slices.SortFunc(options, func(a, b option) int { return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.index, b.index)) })
 	first := -1
@@ -179,14 +188,20 @@
 		if len(proposal.Plan.Helpers) == engines-1 {
 			break
 		}
-		if i == first {
+		if i == first || !o.holds {
 			continue
 		}
+		if held > 0 {
+			proposal.Plan.Held = append(proposal.Plan.Held, held)
+		}
 		proposal.Plan.Helpers = append(proposal.Plan.Helpers, candidates[o.index].Endpoint)
 		proposal.Harm += o.harm
 		proposal.Reserve += o.risk + helperCost
 		ready = max(ready, o.ready)
 	}
+	if held > 0 && len(proposal.Plan.Helpers) < engines-1 {
+		return Proposal{}, false
+	}
 	proposal.Plan.First = ready + transit
 	proposal.Plan.Late = proposal.Plan.First > request.Due.Sub(now)
 	proposal.Loss = weight(request) * lateness(proposal.Plan.First, request.Due.Sub(now))
@@ -194,10 +209,14 @@
 }
 
 // option works out what a part of the reading costs the requests of an engine, and when it would be done.
-func (p LengthAware) option(request modeler.Request, c Candidate, index int, part time.Duration) option {
+func (p LengthAware) option(
+	request modeler.Request, c Candidate, index int, part time.Duration, held modeler.Tokens, engines int,
+) option {
 	load := c.Load
 	o := option{index: index}
-	o.free = load.Running < c.Endpoint.Slots && (p.Profile.Memory == 0 || load.Memory+request.Total() <= p.Profile.Memory)
+	own := request.Total() - held*modeler.Tokens(engines-1)
+	o.free = load.Running < c.Endpoint.Slots && (p.Profile.Memory == 0 || load.Memory+own <= p.Profile.Memory)
+	o.holds = p.Profile.Memory == 0 || load.Memory+held <= p.Profile.Memory
 	before := load.Pass + load.Backlog
 	after := before + part
 	tightest := time.Duration(0)
--- a/internal/fleet/placer/policy_test.go
+++ b/internal/fleet/placer/policy_test.go
@@ -90,6 +90,40 @@
 	}
 }
 
+// TestHeld guards against prompts beyond the memory of one engine that are refused, or whose parts exceed what an engine has free.
+func TestHeld(t *testing.T) {
+	tests := []struct {
+		name   string
+		prompt modeler.Tokens
+		loads  []Load
+		// helpers is the least number of helpers; none is found if it is negative.
+		helpers int
+	}{
+		{"fits one engine", 300_000, make([]Load, 6), 0},
+		{"needs several", 500_000, make([]Load, 12), 1},
+		{"one engine only", 500_000, make([]Load, 1), -1},
+		{"not enough memory together", 500_000, []Load{{Memory: 300_000}, {Memory: 300_000}, {Memory: 300_000}}, -1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			request := long(tt.prompt)
+			proposal, ok := Choose(LengthAware{Profile: profile, MaxEngines: maxEngines}, start, request, candidates(tt.loads...))
+			assert.Equal(t, ok, tt.helpers >= 0)
+			if !ok {
+				return
+			}
+			assert.Assert(t, len(proposal.Plan.Helpers) >= tt.helpers)
+			if request.Total() <= profile.Memory {
+				assert.Equal(t, len(proposal.Plan.Held), 0)
+				return
+			}
+			assert.Equal(t, len(proposal.Plan.Held), len(proposal.Plan.Helpers))
+			own := request.Total() - proposal.Plan.HeldElsewhere()
+			assert.Assert(t, own > 0 && own <= profile.Memory)
+		})
+	}
+}
+
 // TestLengthAwareLimits guards against plans that exceed the slots or the memory of an engine, name an engine twice, or have a first event
 // after the caller has left.
 func TestLengthAwareLimits(t *testing.T) {
