--- /dev/null
+++ b/internal/fleet/poller/poller_test.go
@@ -0,0 +1,158 @@
+package poller_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/applier"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/fleet/poller"
+)
+
+var start = time.Unix(1000, 0)
+
+// node runs the applier and the poller of a node, as each tick does.
+type node struct {
+	world   *modeler.World
+	systems []modeler.System
+	now     time.Time
+}
+
+// newNode returns a node that has read both topics up to offset 5 just now.
+func newNode(id, coordinator modeler.NodeID) *node {
+	n := &node{world: modeler.NewWorld(modeler.Node{ID: id}), systems: []modeler.System{applier.New(), poller.New()}, now: start}
+	n.world.Coordinator = coordinator
+	n.world.Nodes.Put("other", modeler.Node{ID: "other"}.WithHeard(start))
+	n.run()
+	n.read(5)
+	return n
+}
+
+func (n *node) run(events ...modeler.Event) []modeler.Effect {
+	tick := &modeler.Tick{Now: n.now, Events: events}
+	for _, system := range n.systems {
+		system.Run(tick, n.world)
+	}
+	return tick.Effects()
+}
+
+func (n *node) read(next int64) {
+	n.run(
+		modeler.TopicRead{Topic: modeler.Operators, Next: next, Current: n.now}, modeler.TopicRead{Topic: modeler.Endpoints, Next: next, Current: n.now},
+	)
+}
+
+func beat(operators, endpoints modeler.Known) modeler.Event {
+	return modeler.PeerReceived{Message: modeler.Message{From: "other", Body: modeler.Beat{Known: [2]modeler.Known{operators, endpoints}}}}
+}
+
+func fetches(effects []modeler.Effect) []modeler.Topic {
+	var topics []modeler.Topic
+	for _, effect := range effects {
+		if fetch, ok := effect.(modeler.Fetch); ok {
+			topics = append(topics, fetch.Topic)
+		}
+	}
+	return topics
+}
+
+// TestFetch guards against nodes that read the store without need, and against a node that goes on with what nobody has confirmed.
+func TestFetch(t *testing.T) {
+	current := modeler.Known{End: 5, Material: 5}
+	tests := []struct {
+		name        string
+		coordinator modeler.NodeID
+		after       time.Duration
+		event       modeler.Event
+		want        []modeler.Topic
+	}{
+		{"confirmed just now", "other", time.Second, beat(current, current), nil},
+		{"nobody confirms", "other", 1200 * time.Millisecond, nil, []modeler.Topic{modeler.Operators, modeler.Endpoints}},
+		{
+			"confirmed by old news", "other", 1200 * time.Millisecond,
+			beat(modeler.Known{End: 5, Material: 5, Age: 1100 * time.Millisecond}, modeler.Known{End: 5, Material: 5, Age: 1100 * time.Millisecond}),
+			[]modeler.Topic{modeler.Operators, modeler.Endpoints},
+		},
+		{"behind in what operators wrote", "other", time.Second, beat(modeler.Known{End: 6, Material: 6}, current), []modeler.Topic{modeler.Operators}},
+		{"behind in endpoints", "other", time.Second, beat(current, modeler.Known{End: 9, Material: 7}), []modeler.Topic{modeler.Endpoints}},
+		{"records that change nothing", "other", time.Second, beat(current, modeler.Known{End: 9, Material: 5}), nil},
+		{"coordinates", "n", time.Second, nil, []modeler.Topic{modeler.Operators, modeler.Endpoints}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", tt.coordinator)
+			n.now = start.Add(tt.after)
+			var events []modeler.Event
+			if tt.event != nil {
+				events = append(events, tt.event)
+			}
+			assert.DeepEqual(t, fetches(n.run(events...)), tt.want)
+		})
+	}
+}
+
+// TestBackoff guards against a store that is asked without pause while it turns a node away, and against a read that never reports back.
+func TestBackoff(t *testing.T) {
+	n := newNode("n", "n")
+	n.now = n.now.Add(time.Second)
+	assert.Equal(t, len(fetches(n.run())), 2)
+	n.run(modeler.TopicFailed{Topic: modeler.Operators}, modeler.TopicFailed{Topic: modeler.Endpoints})
+	asked := 0
+	for range 100 {
+		n.now = n.now.Add(50 * time.Millisecond)
+		for _, topic := range fetches(n.run()) {
+			asked++
+			n.run(modeler.TopicFailed{Topic: topic})
+		}
+	}
+	assert.Assert(t, asked >= 10 && asked <= 30, "%d calls in 5 s", asked)
+
+	lost := newNode("n", "n")
+	lost.now = lost.now.Add(time.Second)
+	lost.run()
+	lost.now = lost.now.Add(5 * time.Second)
+	assert.Equal(t, len(fetches(lost.run())), 0)
+	lost.now = lost.now.Add(2 * time.Second)
+	assert.Equal(t, len(fetches(lost.run())), 2)
+}
+
+// TestNews guards against changes of endpoints that other nodes miss because a message was lost.
+func TestNews(t *testing.T) {
+	entry := modeler.EndpointChanged{Endpoint: modeler.Endpoint{ID: "e", Service: "s", Address: "a"}, Offset: 5}
+	coordinator := newNode("n", "n")
+	effects := coordinator.run(entry, modeler.TopicRead{Topic: modeler.Endpoints, Next: 6, Current: start})
+	var news modeler.EndpointNews
+	for _, effect := range effects {
+		if send, ok := effect.(modeler.Send); ok {
+			news, _ = send.Message.Body.(modeler.EndpointNews)
+		}
+	}
+	assert.Equal(t, news.From, int64(5))
+	assert.Equal(t, news.Next, int64(6))
+	assert.Equal(t, len(news.Changes), 1)
+	again := coordinator.run(
+		modeler.EndpointChanged{Endpoint: entry.Endpoint, Offset: 6}, modeler.TopicRead{Topic: modeler.Endpoints, Next: 7, Current: start},
+	)
+	for _, effect := range again {
+		_, sent := effect.(modeler.Send)
+		assert.Assert(t, !sent, "an entry that repeats what is known is not passed on")
+	}
+
+	message := modeler.PeerReceived{Message: modeler.Message{From: "other", Body: news}}
+	follower := newNode("f", "other")
+	follower.run(message)
+	_, known := follower.world.Endpoints.Get("e")
+	assert.Assert(t, known)
+	assert.Equal(t, follower.world.Ends[modeler.Endpoints], int64(6))
+
+	missed := newNode("m", "other")
+	later := news
+	later.From, later.Next = 8, 9
+	missed.run(modeler.PeerReceived{Message: modeler.Message{From: "other", Body: later}})
+	assert.Equal(t, missed.world.Ends[modeler.Endpoints], int64(5), "records between 5 and 8 are missing")
+	missed.now = missed.now.Add(time.Second)
+	known9 := modeler.Known{End: 9, Material: 9}
+	assert.DeepEqual(t, fetches(missed.run(beat(modeler.Known{End: 5, Material: 5}, known9))), []modeler.Topic{modeler.Endpoints})
+}
