--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -43,6 +43,7 @@
 
 // Environment is what commands use of the process. Tests pass their own.
 type Environment struct {
+	In  io.Reader
 	Out io.Writer
 	Err io.Writer
 	// Serve runs a node until ctx is cancelled and it has stopped, and returns the exit code.
@@ -67,7 +68,7 @@
 
 // Main runs the command that args name and returns the exit code.
 func Main(args []string) int {
-	return Run(args, Environment{Out: os.Stdout, Err: os.Stderr, Serve: assembler.Run, Signals: stopSignals})
+	return Run(args, Environment{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Serve: assembler.Run, Signals: stopSignals})
 }
 
 // Run runs the command that args name in env and returns the exit code.
@@ -90,7 +91,7 @@
 type adder func(parent *flags.Command, env *Environment) error
 
 func commands() []adder {
-	return []adder{addServe, addFleet, addSettings, addRules, addStatus, addReport, addAddresses, addVersion}
+	return []adder{addServe, addFleet, addSettings, addRules, addStatus, addReport, addTrace, addAddresses, addVersion}
 }
 
 // add adds a command without subcommands. Single line ends in the help are those of the source file; go-flags wraps lines to
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -38,7 +38,7 @@
 
 const (
 	// linesPerSecond bounds the log lines of ordinary requests.
-	linesPerSecond = 400
+	linesPerSecond = 40
 	// memoryPart is the part of the memory limit that the Go runtime may fill before it collects garbage more often. The rest is for
 	// stacks, buffers of sockets and the C library.
 	memoryPart = 0.6
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -35,10 +35,10 @@
 func (f *Forwarder) attempt(ctx context.Context, p *progress, plan modeler.Plan, sink Sink) (outcome modeler.Outcome) {
 	id := f.request(p).ID
 	p.sends++
-	p.sentAt = time.Now()
+	p.sentAt, p.fault = time.Now(), ""
 	p.result.Endpoint, p.result.Helpers = plan.Endpoint.ID, len(plan.Helpers)
 	defer func() {
-		f.Control.Post(modeler.AttemptEnded{ID: id, Outcome: outcome})
+		f.Control.Post(modeler.AttemptEnded{ID: id, Outcome: outcome, Fault: p.fault})
 		if outcome == modeler.Unreachable || outcome == modeler.Silent || outcome == modeler.Misdirected {
 			f.Pool.Forget(plan.Endpoint.Address)
 		}
@@ -70,7 +70,8 @@
 	fields := f.Protocol.AnswerFields(response.StatusCode, response.Header)
 	if fields.NotRun {
 		complete = drained(response)
-		if fields.Misdirected {
+		p.fault = blamed(plan, fields.Fault)
+		if fields.Misdirected && p.fault == "" {
 			return modeler.Misdirected
 		}
 		return modeler.Shed
@@ -87,6 +88,16 @@
 	return outcome
 }
 
+// blamed returns the helper that an engine names, by its id or its address.
+func blamed(plan modeler.Plan, name string) modeler.EndpointID {
+	for _, h := range plan.Helpers {
+		if name != "" && (name == string(h.ID) || name == h.Address) {
+			return h.ID
+		}
+	}
+	return ""
+}
+
 // drained reads a short answer to its end, so that the connection can be used again.
 func drained(response *dialer.Answer) bool {
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, answerLimit))
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -127,6 +127,8 @@
 	sentAt time.Time
 	// mayRun is set if the request may have run at an endpoint that did not answer.
 	mayRun bool
+	// fault is the engine that the last refusal blamed, if it is not the one that refused.
+	fault modeler.EndpointID
 	// lastEvent is the id of the last event passed on, and begun tells whether the header was.
 	lastEvent string
 	begun     bool
@@ -154,7 +156,11 @@
 		if outcome == modeler.Answered || outcome == modeler.Abandoned {
 			return f.ended(ctx, p)
 		}
-		p.tried = append(p.tried, decision.Plan.Endpoint.ID)
+		if p.fault != "" {
+			p.tried = append(p.tried, p.fault)
+		} else {
+			p.tried = append(p.tried, decision.Plan.Endpoint.ID)
+		}
 		if !f.mayRepeat(ctx, p) {
 			return f.ended(ctx, p)
 		}
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -392,3 +392,38 @@
 	assert.Equal(t, s.body.String(), events(6))
 	assert.DeepEqual(t, b.control.outcomes, []modeler.Outcome{modeler.Silent, modeler.Answered})
 }
+
+// TestBlamedHelper guards against an engine that is given up because one of its helpers has left, while the helper is asked again.
+func TestBlamedHelper(t *testing.T) {
+	tests := []struct {
+		name  string
+		blame func(b *bed) string
+		want  modeler.EndpointID
+	}{
+		{"by id", func(*bed) string { return "e2" }, "e2"},
+		{"by address", func(b *bed) string { return b.second.Address() }, "e2"},
+		{"itself", func(*bed) string { return "e1" }, "e1"},
+		{"unknown", func(*bed) string { return "e9" }, "e1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(t, 100)
+			b.forward.Control = helped{b.control}
+			b.first.SetFault(platformtest.EndpointFault{Blames: tt.blame(b)})
+			b.forward.Serve(t.Context(), call(modeler.Stream, "/stream/1"), &sink{})
+			assert.Assert(t, len(b.control.requests) >= 2)
+			assert.DeepEqual(t, b.control.requests[1].Tried, []modeler.EndpointID{tt.want})
+		})
+	}
+}
+
+// helped places every request with the second endpoint as a helper.
+type helped struct{ *control }
+
+func (h helped) Place(ctx context.Context, request modeler.Request) (modeler.Decision, error) {
+	decision, err := h.control.Place(ctx, request)
+	if !decision.Refused {
+		decision.Plan.Helpers = h.endpoints[1:2]
+	}
+	return decision, err
+}
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -72,6 +72,8 @@
 	AttemptEnded struct {
 		ID      RequestID
 		Outcome Outcome
+		// Fault is the engine that the endpoint blamed for a refusal; empty if it is the endpoint itself.
+		Fault EndpointID
 	}
 	// PlaceCancelled says that nobody waits for a place any more.
 	PlaceCancelled struct{ ID RequestID }
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -64,6 +64,10 @@
 	ended := modeler.Ended{
 		ID: e.ID, Endpoint: assignment.Plan.Endpoint.ID, Outcome: e.Outcome, Fingerprint: assignment.Request.Fingerprint,
 	}
+	if e.Fault != "" {
+		// An engine that cannot help others any more is gone or leaves.
+		ended.Endpoint, ended.Outcome = e.Fault, modeler.Unreachable
+	}
 	judge(tick, world, ended)
 	if coordinator, ok := world.Nodes.Get(world.Coordinator); ok {
 		tick.Emit(modeler.Send{To: coordinator, Message: modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: ended}})
