--- a/internal/proof/soaker/site_test.go
+++ b/internal/proof/soaker/site_test.go
@@ -75,8 +75,7 @@
 	t.Helper()
 	s := &site{store: platformtest.NewStore(), version: 1}
 	server := httptest.NewServer(s.store)
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
+	t.Cleanup(func() { _ = server.Config.Close() })
 	s.store.Put(platform.TopicOperators, "config", platformtest.Configuration(s.version))
 	for i := range 6 {
 		e := &platformtest.Endpoint{
