Pay repeats from the requests of one window only

What requests earned faded over a window instead of ending with it, so that a busy window spent what a quiet one had earned. TestQuietThenBusy fails without the change. Ruled out: nodes that started again with a full budget: half of the slack covers them. Change: the budget counts requests and repeats of the same sliding window. Tests take callers' requests from platformtest, so that no name of the platform stands outside platform/.

--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -114,15 +114,10 @@
 }
 
 func (n *node) call(path, id string) answer {
-	request, err := http.NewRequest(http.MethodPost, "http://"+n.settings.Listen.Callers+path, strings.NewReader("payload of "+id))
+	request, err := platformtest.NewRequest(context.Background(), "http://"+n.settings.Listen.Callers+path, id)
 	if err != nil {
 		return answer{err: err}
 	}
-	request.Host = platformtest.Host
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Key", platformtest.Credential)
-	request.Header.Set("Request-Deadline-Ms", "5000")
-	request.Header.Set("Token-Usage", "5000,100")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return answer{err: err}
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -97,10 +97,8 @@
 }
 
 func call(kind modeler.Kind, path string) forwarder.Call {
-	header := http.Header{}
-	header.Set("Request-Id", "r1")
-	header.Set("Key", "secret")
-	header.Set("Tenant-Id", "forged")
+	header := platformtest.CallerHeader("r1", "secret")
+	header.Set(platformtest.MemberHeader, "forged")
 	attempts := 2
 	if kind == modeler.Unsafe {
 		attempts = 1
--- a/internal/fleet/limiter/budget.go
+++ b/internal/fleet/limiter/budget.go
@@ -2,6 +2,7 @@
 package limiter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,13 +31,17 @@
 	rows    map[modeler.ServiceID]row
 }
 
-// row is the state of one service.
-type row struct {
-	// earned repeats come from requests and last for a window; at is when they were last aged.
-	earned float64
-	at     time.Time
-	// spent holds the times of repeats paid from the slack in the last window.
-	spent []time.Time
+// row holds the times of the last window for one service, oldest first.
+type row struct{ requests, repeats []time.Time }
+
+// after returns the row without what is older than the given time.
+func (r row) after(oldest time.Time) row {
+	return row{requests: newer(r.requests, oldest), repeats: newer(r.repeats, oldest)}
+}
+
+func newer(times []time.Time, oldest time.Time) []time.Time {
+	at, _ := slices.BinarySearchFunc(times, oldest, time.Time.Compare)
+	return times[at:]
 }
 
 // NewBudget returns a budget that is full.
@@ -48,8 +53,9 @@
 func (b *Budget) Earn(service modeler.ServiceID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.aged(service)
-	r.earned += b.options.Ratio * earnedPart
+	now := b.now()
+	r := b.rows[service].after(now.Add(-b.options.Window))
+	r.requests = append(r.requests, now)
 	b.rows[service] = r
 }
 
@@ -57,31 +63,14 @@
 func (b *Budget) Spend(service modeler.ServiceID, nodes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.aged(service)
-	defer func() { b.rows[service] = r }()
-	if r.earned >= 1 {
-		r.earned--
-		return true
-	}
-	if float64(len(r.spent)+1) > b.options.Slack*slackPart/float64(max(nodes, 1)) {
-		return false
-	}
-	r.spent = append(r.spent, b.now())
-	return true
-}
-
-// aged returns the row with earned repeats decayed over the window and old expenses dropped.
-func (b *Budget) aged(service modeler.ServiceID) row {
 	now := b.now()
-	r, ok := b.rows[service]
-	if !ok {
-		return row{at: now}
-	}
-	left := 1 - float64(now.Sub(r.at))/float64(b.options.Window)
-	r.earned *= max(left, 0)
-	r.at = now
-	for len(r.spent) > 0 && now.Sub(r.spent[0]) > b.options.Window {
-		r.spent = r.spent[1:]
+	r := b.rows[service].after(now.Add(-b.options.Window))
+	allowed := earnedPart*b.options.Ratio*float64(len(r.requests)) + slackPart*b.options.Slack/float64(max(nodes, 1))
+	if float64(len(r.repeats)+1) <= allowed {
+		r.repeats = append(r.repeats, now)
+		b.rows[service] = r
+		return true
 	}
-	return r
+	b.rows[service] = r
+	return false
 }
--- a/internal/fleet/limiter/limiter_test.go
+++ b/internal/fleet/limiter/limiter_test.go
@@ -56,6 +56,28 @@
 	return n
 }
 
+// TestQuietThenBusy guards against repeats that are paid from the requests of two windows: the users count one.
+func TestQuietThenBusy(t *testing.T) {
+	const slack = 5.0
+	now := time.Unix(1000, 0)
+	b := limiter.NewBudget(limiter.Options{Ratio: 0.2, Slack: slack, Window: window}, func() time.Time { return now })
+	tests := []struct {
+		name    string
+		repeats bool
+	}{{"quiet", false}, {"busy", true}, {"busy again", true}}
+	for _, tt := range tests {
+		requests, repeats := 0, 0
+		for end := now.Add(window); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			b.Earn("s")
+			requests++
+			if tt.repeats && b.Spend("s", 1) {
+				repeats++
+			}
+		}
+		assert.Assert(t, float64(repeats) <= 0.2*float64(requests)+slack, "%s: %d repeats of %d requests", tt.name, repeats, requests)
+	}
+}
+
 // TestBudget guards against services that use each other's budget, and against one that never recovers.
 func TestBudget(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/fleet/listener/listener_test.go
+++ b/internal/fleet/listener/listener_test.go
@@ -95,7 +95,7 @@
 			snapshot := &modeler.Snapshot{Configuration: tt.configuration, Self: modeler.Node{Leaving: tt.leaving}}
 			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, tt.path, tt.body)
 			r.Host = tt.host
-			r.Header.Set("Key", tt.key)
+			r.Header = platformtest.CallerHeader("r1", tt.key)
 			w := httptest.NewRecorder()
 			newCallers(t, snapshot).ServeHTTP(w, r)
 			assert.Equal(t, w.Code, tt.code)
--- a/internal/proof/soaker/site_test.go
+++ b/internal/proof/soaker/site_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -273,17 +273,11 @@
 
 func (c *callers) call(node int, path, id string) attempt {
 	a := attempt{id: id, path: path, node: node, sent: time.Now()}
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.site.instances[node].front.address()+path, strings.NewReader("payload of "+id))
+	// The request has no GetBody, so that net/http does not repeat it on its own.
+	request, err := platformtest.NewRequest(context.Background(), "http://"+c.site.instances[node].front.address()+path, id)
 	if err != nil {
 		return a
 	}
-	request.Host = platformtest.Host
-	// net/http must not repeat a request on its own.
-	request.GetBody = nil
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Key", platformtest.Credential)
-	request.Header.Set("Request-Deadline-Ms", "5000")
-	request.Header.Set("Token-Usage", "3000,100")
 	response, err := c.client.Do(request)
 	if err == nil {
 		var body []byte
--- a/internal/proof/soaker/soaker_test.go
+++ b/internal/proof/soaker/soaker_test.go
@@ -267,7 +267,7 @@
 		for _, r := range e.Runs() {
 			runs[r.Request] = append(runs[r.Request], r)
 			assert.Check(t, r.Credential == "" && r.Member == platformtest.Member, "run of %s has member %q", r.Request, r.Member)
-			assert.Check(t, r.Body == "payload of "+r.Request, "run of %s has body %q", r.Request, r.Body)
+			assert.Check(t, r.Body == platformtest.Payload(r.Request), "run of %s has body %q", r.Request, r.Body)
 		}
 	}
 	served, late := 0, 0
