--- a/internal/platform/follower/follower.go
+++ b/internal/backing/follower/follower.go
@@ -8,8 +8,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"damaskpick.example/damaskpick/internal/backing/appender"
 	"damaskpick.example/damaskpick/internal/control/modeler"
-	"damaskpick.example/damaskpick/internal/platform/appender"
 )
 
 const (
--- a/internal/platform/follower/follower_test.go
+++ b/internal/backing/follower/follower_test.go
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"damaskpick.example/damaskpick/internal/backing/appender"
 	"damaskpick.example/damaskpick/internal/control/modeler"
-	"damaskpick.example/damaskpick/internal/platform/appender"
 )
 
 // answer is one scripted result of a read, with what the read must ask for. A page without a next offset is a failure.
--- a/internal/node/assembler/callers.go
+++ b/internal/node/assembler/callers.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
+	"damaskpick.example/damaskpick/internal/backing/appender"
 	"damaskpick.example/damaskpick/internal/control/modeler"
 	operator "damaskpick.example/damaskpick/internal/operator/handler"
-	"damaskpick.example/damaskpick/internal/platform/appender"
 	"damaskpick.example/damaskpick/internal/rules/publisher"
 	"damaskpick.example/damaskpick/internal/settings/loader"
 	"damaskpick.example/damaskpick/internal/telemetry/collector"
--- a/internal/node/assembler/endpoints.go
+++ b/internal/node/assembler/endpoints.go
@@ -4,9 +4,9 @@
 	"context"
 	"strings"
 
+	"damaskpick.example/damaskpick/internal/backing/lister"
 	"damaskpick.example/damaskpick/internal/control/modeler"
 	"damaskpick.example/damaskpick/internal/endpoint/streamer"
-	"damaskpick.example/damaskpick/internal/platform/lister"
 	"damaskpick.example/damaskpick/internal/settings/loader"
 )
 
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -10,6 +10,9 @@
 
 	"github.com/rs/zerolog"
 
+	"damaskpick.example/damaskpick/internal/backing/appender"
+	"damaskpick.example/damaskpick/internal/backing/follower"
+	"damaskpick.example/damaskpick/internal/backing/lister"
 	"damaskpick.example/damaskpick/internal/control/modeler"
 	"damaskpick.example/damaskpick/internal/control/runner"
 	"damaskpick.example/damaskpick/internal/endpoint/caller"
@@ -17,9 +20,6 @@
 	"damaskpick.example/damaskpick/internal/node/executor"
 	"damaskpick.example/damaskpick/internal/node/observer"
 	"damaskpick.example/damaskpick/internal/peer/messenger"
-	"damaskpick.example/damaskpick/internal/platform/appender"
-	"damaskpick.example/damaskpick/internal/platform/follower"
-	"damaskpick.example/damaskpick/internal/platform/lister"
 	"damaskpick.example/damaskpick/internal/settings/loader"
 	"damaskpick.example/damaskpick/internal/telemetry/counter"
 	"damaskpick.example/damaskpick/internal/telemetry/reporter"
--- a/internal/proof/measurer/platform_test.go
+++ b/internal/proof/measurer/platform_test.go
@@ -12,11 +12,11 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"damaskpick.example/damaskpick/internal/backing/appender"
+	"damaskpick.example/damaskpick/internal/backing/lister"
 	"damaskpick.example/damaskpick/internal/control/modeler"
 	"damaskpick.example/damaskpick/internal/emulation/platformer"
 	"damaskpick.example/damaskpick/internal/endpoint/streamer"
-	"damaskpick.example/damaskpick/internal/platform/appender"
-	"damaskpick.example/damaskpick/internal/platform/lister"
 	"damaskpick.example/damaskpick/internal/settings/loader"
 	"damaskpick.example/damaskpick/internal/web/handler"
 )
