End an answer for an endpoint's silence only when it may go on elsewhere

Ruled out: asking the budget when the limit is set: many streams pause at once and the budget is gone when they are cut. Change: a guard beside the reading takes the repeat from the budget first and ends the connection only then. Test rows 'without a budget a silent endpoint is waited for' (before: given up after 2.5 objectives) and 'a stream that pauses goes on when no repeat is left' (before: cut).

--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -130,13 +130,8 @@
 	}
 }
 
-// SetReadTimeout bounds the next reads of the body.
-func (x *Exchange) SetReadTimeout(timeout time.Duration) error {
-	return x.conn.SetReadDeadline(time.Now().Add(timeout))
-}
-
-// Buffered returns the number of bytes that can be read without waiting.
-func (x *Exchange) Buffered() int { return x.conn.Reader.Buffered() }
+// Abort ends the connection at once. It may be called beside the reading, which then fails.
+func (x *Exchange) Abort() { x.conn.discard() }
 
 // Close ends the exchange. The connection is kept only if the whole answer was read and nothing was odd about it.
 func (x *Exchange) Close(complete bool) {
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,13 +60,15 @@
 	}
 	complete := false
 	defer func() { x.Close(complete) }()
-	response, err := x.Answer(p.call.Method, f.silence(p, plan), func(header http.Header) bool {
+	guard := f.guard(p, x, f.silence(p, plan))
+	defer guard.stop()
+	response, err := x.Answer(p.call.Method, max(time.Until(p.deadline), time.Millisecond), func(header http.Header) bool {
 		own := f.Protocol.AnswerFields(0, header).RequestID
 		return own == "" || own == p.call.Fields.ID
 	})
 	if err != nil {
 		f.mayHaveRun(p)
-		return f.failure(ctx, p, err, modeler.Broken)
+		return f.cause(ctx, p, guard, err)
 	}
 	fields := f.Protocol.AnswerFields(response.StatusCode, response.Header)
 	if fields.NotRun {
@@ -81,10 +84,10 @@
 		return modeler.Garbled
 	}
 	if p.call.Route.Kind == modeler.Stream && response.StatusCode < 300 {
-		outcome, complete = f.stream(ctx, p, plan, id, x, response, sink)
+		outcome, complete = f.stream(ctx, p, id, x, guard, response, sink)
 		return outcome
 	}
-	outcome, complete = f.whole(ctx, p, x, response, sink)
+	outcome, complete = f.whole(ctx, p, guard, response, sink)
 	return outcome
 }
 
@@ -120,17 +123,16 @@
 	}
 }
 
-// silence is how long the endpoint may take until its answer begins.
+// silence is how long the endpoint may take until its answer begins, before another one is asked.
 func (f *Forwarder) silence(p *progress, plan modeler.Plan) time.Duration {
-	left := time.Until(p.deadline)
 	if !p.call.Route.Repeatable() || p.ran+1 >= p.call.Route.Attempts {
-		return max(left, time.Millisecond)
+		return noLimit
 	}
 	limit := time.Duration(silenceTargets * float64(p.call.Route.Target))
 	if p.call.Route.Kind == modeler.Stream {
 		limit = max(minSilence, p.call.Route.Target) + time.Duration(silencePart*float64(plan.First))
 	}
-	return max(min(limit, left), time.Millisecond)
+	return limit
 }
 
 // failure turns an error of a connection into an outcome.
@@ -156,16 +158,59 @@
 	}
 }
 
-// whole passes on an answer that is not a stream, once all of it is there.
-func (f *Forwarder) whole(ctx context.Context, p *progress, x *dialer.Exchange, response *dialer.Answer, sink Sink) (modeler.Outcome, bool) {
-	if err := x.SetReadTimeout(max(time.Until(p.deadline), time.Millisecond)); err != nil {
-		f.mayHaveRun(p)
-		return modeler.Broken, false
+// silenceGuard ends the connection to an endpoint that is silent for too long, if the request may then go on elsewhere. An endpoint's silence
+// alone is no reason to end an answer: it may still come.
+type silenceGuard struct {
+	timer *time.Timer
+	// fired is set once the guard has taken a repeat from the budget and ended the connection.
+	fired atomic.Bool
+}
+
+// guard watches an exchange. A limit of noLimit watches nothing.
+func (f *Forwarder) guard(p *progress, x *dialer.Exchange, limit time.Duration) *silenceGuard {
+	g := &silenceGuard{}
+	call := p.call
+	g.timer = time.AfterFunc(limit, func() {
+		if f.spend(call) {
+			g.fired.Store(true)
+			x.Abort()
+		}
+	})
+	if limit == noLimit {
+		g.timer.Stop()
 	}
+	return g
+}
+
+// noLimit stands for a request that cannot go on elsewhere.
+const noLimit time.Duration = 0
+
+// reset starts the limit anew after a sign of life.
+func (g *silenceGuard) reset(limit time.Duration) {
+	if limit == noLimit {
+		g.timer.Stop()
+		return
+	}
+	g.timer.Reset(limit)
+}
+
+func (g *silenceGuard) stop() { g.timer.Stop() }
+
+// cause turns an error of reading into an outcome.
+func (f *Forwarder) cause(ctx context.Context, p *progress, guard *silenceGuard, err error) modeler.Outcome {
+	if guard.fired.Load() && ctx.Err() == nil {
+		p.prepaid = true
+		return modeler.Silent
+	}
+	return f.failure(ctx, p, err, modeler.Broken)
+}
+
+// whole passes on an answer that is not a stream, once all of it is there.
+func (f *Forwarder) whole(ctx context.Context, p *progress, guard *silenceGuard, response *dialer.Answer, sink Sink) (modeler.Outcome, bool) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit+1))
 	if err != nil || len(body) > answerLimit {
 		f.mayHaveRun(p)
-		return f.failure(ctx, p, err, modeler.Broken), false
+		return f.cause(ctx, p, guard, err), false
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
 	if failed && f.repeatFailure(ctx, p) {
@@ -227,20 +272,12 @@
 
 // stream passes on events as they come. Only whole events are passed on, so that another engine can go on after the last one.
 func (f *Forwarder) stream(
-	ctx context.Context, p *progress, plan modeler.Plan, id modeler.RequestID, x *dialer.Exchange, response *dialer.Answer, sink Sink,
+	ctx context.Context, p *progress, id modeler.RequestID, x *dialer.Exchange, guard *silenceGuard, response *dialer.Answer, sink Sink,
 ) (modeler.Outcome, bool) {
 	events := newEventReader(response.Body)
 	started := false
 	p.ran++
 	for {
-		timeout := f.silence(p, plan)
-		if started {
-			timeout = f.pause(p)
-		}
-		if err := x.SetReadTimeout(timeout); err != nil {
-			p.mayRun = true
-			return modeler.Broken, false
-		}
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			p.result.Status, p.result.Code = Delivered, response.StatusCode
@@ -251,8 +288,9 @@
 		}
 		if err != nil {
 			p.mayRun = true
-			return f.failure(ctx, p, err, modeler.Broken), false
+			return f.cause(ctx, p, guard, err), false
 		}
+		guard.reset(f.pause(p))
 		if !started {
 			started = true
 			f.Control.Post(modeler.AttemptStarted{ID: id})
@@ -285,13 +323,12 @@
 
 // pause is how long an engine may pause between two events before the stream goes on elsewhere.
 func (f *Forwarder) pause(p *progress) time.Duration {
-	left := max(time.Until(p.deadline), time.Millisecond)
 	if !p.call.Route.Resumable || p.ran >= p.call.Route.Attempts {
-		return left
+		return noLimit
 	}
 	route := p.call.Route
 	longest := time.Duration(pausePart * float64(patience(route)))
-	return min(left, longest, max(minSilence, pauseGaps*route.GapTarget+pauseExtra))
+	return min(longest, max(minSilence, pauseGaps*route.GapTarget+pauseExtra))
 }
 
 // errCutEvent says that a stream ended inside an event.
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -129,6 +129,8 @@
 	mayRun bool
 	// fault is the engine that the last refusal blamed, if it is not the one that refused.
 	fault modeler.EndpointID
+	// prepaid is set if the next repeat is taken from the budget already.
+	prepaid bool
 	// lastEvent is the id of the last event passed on, and begun tells whether the header was.
 	lastEvent string
 	begun     bool
@@ -219,14 +221,23 @@
 	if p.mayRun && !route.Repeatable() {
 		return false
 	}
-	nodes := len(f.Control.Snapshot().Alive)
-	if !f.Budget.Spend(p.call.Service.ID, nodes+nodes/2+1) {
+	if p.prepaid {
+		p.prepaid = false
+		return true
+	}
+	if !f.spend(p.call) {
 		p.result.Reason = modeler.ReasonBudget
 		return false
 	}
 	return true
 }
 
+// spend takes a repeat from the budget. Half as many nodes again as live may exist.
+func (f *Forwarder) spend(call Call) bool {
+	nodes := len(f.Control.Snapshot().Alive)
+	return f.Budget.Spend(call.Service.ID, nodes+nodes/2+1)
+}
+
 // ended says how the call ended, by what is known of its attempts.
 func (f *Forwarder) ended(ctx context.Context, p *progress) Result {
 	r := p.result
