--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -84,7 +84,7 @@
 		return modeler.Garbled
 	}
 	if p.call.Route.Kind == modeler.Stream && response.StatusCode < 300 {
-		outcome, complete = f.stream(ctx, p, id, x, guard, response, sink)
+		outcome, complete = f.stream(ctx, p, id, guard, response, sink)
 		return outcome
 	}
 	outcome, complete = f.whole(ctx, p, guard, response, sink)
@@ -272,7 +272,7 @@
 
 // stream passes on events as they come. Only whole events are passed on, so that another engine can go on after the last one.
 func (f *Forwarder) stream(
-	ctx context.Context, p *progress, id modeler.RequestID, x *dialer.Exchange, guard *silenceGuard, response *dialer.Answer, sink Sink,
+	ctx context.Context, p *progress, id modeler.RequestID, guard *silenceGuard, response *dialer.Answer, sink Sink,
 ) (modeler.Outcome, bool) {
 	events := newEventReader(response.Body)
 	started := false
