--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -170,15 +170,14 @@
 func (f *Forwarder) guard(p *progress, x *dialer.Exchange, limit time.Duration) *silenceGuard {
 	g := &silenceGuard{}
 	call := p.call
-	g.timer = time.AfterFunc(limit, func() {
+	// The timer is stopped before it can fire; a limit of zero would fire at once.
+	g.timer = time.AfterFunc(time.Hour, func() {
 		if f.spend(call) {
 			g.fired.Store(true)
 			x.Abort()
 		}
 	})
-	if limit == noLimit {
-		g.timer.Stop()
-	}
+	g.reset(limit)
 	return g
 }
 
