Never end a resumed stream as whole when the next engine fails

The new row of TestServe fails without the change. Change: once a part of a stream is passed on, an answer that is no stream counts as a failed attempt.

--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -83,6 +83,12 @@
 		f.mayHaveRun(p)
 		return modeler.Garbled
 	}
+	if p.begun && response.StatusCode >= 300 {
+		// The caller has a part of another engine's stream; a failure must not end it as if it were whole.
+		f.mayHaveRun(p)
+		complete = drained(response)
+		return modeler.Failed
+	}
 	if p.call.Route.Kind == modeler.Stream && response.StatusCode < 300 {
 		outcome, complete = f.stream(ctx, p, id, guard, response, sink)
 		return outcome
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -184,6 +184,11 @@
 			name: "cut stream goes on elsewhere", kind: modeler.Stream, path: "/stream/1", first: platformtest.EndpointFault{CutAfter: 2}, slack: 100,
 			status: forwarder.Delivered, code: 200, body: events(6), runs: [2]int{1, 1},
 		},
+		{
+			name: "failure after a cut does not end the stream as whole", kind: modeler.Stream, path: "/stream/1", slack: 100,
+			first: platformtest.EndpointFault{CutAfter: 2}, second: platformtest.EndpointFault{Status: 500},
+			status: forwarder.Interrupted, code: 200, body: events(2), runs: [2]int{1, 1},
+		},
 		{
 			name: "stream cut twice is not whole", kind: modeler.Stream, path: "/stream/1", slack: 100,
 			first: platformtest.EndpointFault{CutAfter: 2}, second: platformtest.EndpointFault{CutAfter: 1},
