Mend what a read-through of the platform's nodes found

Cause: read as a newcomer would. Written twice: the batching of the two control loops, the making of a message. At the wrong depth or missing: a failure that an endpoint had answered with was replaced by 502 when no repeat was left; the guard against silent engines ran while a slow caller was written to; the nodes of lowest rank were counted with dead ones, so that in time nobody greets a node that cannot hear the coordinator; operators' limits on headers, idle time and connections were decoded and not followed. Ruled out: keeping the fields for later. Change: control/batcher holds the inbox of both loops; World.Message; a failure is kept and passed on when the repeat gives nothing; the guard rests during writes; lowest counts live nodes; header size (431), idle time and each node's share of an endpoint's connections follow the configuration. The time to send a header stays fixed at 10 s and stands as open. Figures: the two new rows of TestServe and TestElectorsAreReplaced fail without the change; all tests of the touched packages pass with the race detector.

--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"damaskpick.example/damaskpick/internal/control/batcher"
 	"damaskpick.example/damaskpick/internal/control/modeler"
 )
 
@@ -23,9 +23,6 @@
 	membersInterval = time.Second
 )
 
-// ErrStopped is returned once the control goroutine has ended.
-var ErrStopped = errors.New("control loop has stopped")
-
 // Executor carries out effects. Execute must not block; results come back as events.
 type Executor interface {
 	Execute(effects []modeler.Effect)
@@ -44,15 +41,16 @@
 
 // Loop runs ticks over a World.
 type Loop struct {
-	options   Options
-	world     *modeler.World
-	events    chan envelope
-	done      chan struct{}
-	snapshot  atomic.Pointer[modeler.Snapshot]
-	waiters   map[modeler.RequestID]chan modeler.Decision
-	callers   map[modeler.AttemptID]chan modeler.CallDecision
-	nextTick  time.Time
-	published time.Time
+	options Options
+	world   *modeler.World
+	inbox   *batcher.Inbox[envelope]
+	// closeInbox is called when Run ends.
+	closeInbox func()
+	snapshot   atomic.Pointer[modeler.Snapshot]
+	waiters    map[modeler.RequestID]chan modeler.Decision
+	callers    map[modeler.AttemptID]chan modeler.CallDecision
+	nextTick   time.Time
+	published  time.Time
 	// endpoints, members and nodes are the rows of the newest snapshot; those of members are as of membersAt.
 	endpoints view[modeler.EndpointID, modeler.Endpoint]
 	members   view[modeler.MemberID, modeler.Member]
@@ -72,17 +70,18 @@
 func New(world *modeler.World, options Options) *Loop {
 	l := &Loop{
 		options: options, world: world,
-		events:  make(chan envelope, eventBuffer),
-		done:    make(chan struct{}),
 		waiters: map[modeler.RequestID]chan modeler.Decision{},
 		callers: map[modeler.AttemptID]chan modeler.CallDecision{},
 	}
+	l.inbox, l.closeInbox = batcher.NewInbox[envelope](eventBuffer, maxBatch)
 	l.publish(options.Now())
 	return l
 }
 
 // Post hands over an event. It waits while the buffer is full and drops the event once the loop has stopped.
-func (l *Loop) Post(event modeler.Event) { _ = l.put(context.Background(), envelope{event: event}) }
+func (l *Loop) Post(event modeler.Event) {
+	_ = l.inbox.Put(context.Background(), envelope{event: event})
+}
 
 // Ask hands over RequestArrived or RetryAsked and returns the decision.
 func (l *Loop) Ask(ctx context.Context, event modeler.Event) (modeler.Decision, error) {
@@ -106,29 +105,11 @@
 }
 
 func await[A any](ctx context.Context, l *Loop, answer chan A, wrap func(chan A) envelope) (A, error) {
-	var none A
-	if err := l.put(ctx, wrap(answer)); err != nil {
+	if err := l.inbox.Put(ctx, wrap(answer)); err != nil {
+		var none A
 		return none, err
 	}
-	select {
-	case a := <-answer:
-		return a, nil
-	case <-ctx.Done():
-		return none, ctx.Err()
-	case <-l.done:
-		return none, ErrStopped
-	}
-}
-
-func (l *Loop) put(ctx context.Context, e envelope) error {
-	select {
-	case l.events <- e:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-l.done:
-		return ErrStopped
-	}
+	return batcher.Await(ctx, l.inbox, answer)
 }
 
 // Snapshot returns the newest published view.
@@ -136,37 +117,19 @@
 
 // Run runs ticks until ctx ends. A tick is caused by an event or by the next deadline.
 func (l *Loop) Run(ctx context.Context) error {
-	defer close(l.done)
+	defer l.closeInbox()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		var batch []envelope
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case e := <-l.events:
-			batch = l.drain(e)
-		case <-timer.C:
+		batch, err := l.inbox.Take(ctx, timer.C)
+		if err != nil {
+			return err
 		}
 		l.tick(batch)
 		timer.Reset(time.Until(l.nextTick))
 	}
 }
 
-// drain collects the events that wait already.
-func (l *Loop) drain(first envelope) []envelope {
-	batch := []envelope{first}
-	for len(batch) < maxBatch {
-		select {
-		case e := <-l.events:
-			batch = append(batch, e)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 func (l *Loop) tick(batch []envelope) {
 	started := time.Now()
 	tick := &modeler.Tick{Now: l.options.Now(), Rand: l.options.Rand, Events: l.register(batch)}
--- a/internal/control/runner/runner_bench_test.go
+++ b/internal/control/runner/runner_bench_test.go
@@ -67,11 +67,11 @@
 			l := New(modeler.NewWorld(modeler.Self{}), Options{Executor: noEffects{}, Now: func() time.Time { return now }, Rand: rand.New(rand.NewPCG(1, 1))})
 			for b.Loop() {
 				for range events {
-					_ = l.put(context.Background(), envelope{event: modeler.StopAsked{}})
+					_ = l.inbox.Put(context.Background(), envelope{event: modeler.StopAsked{}})
 				}
 				var batch []envelope
 				if events > 0 {
-					batch = l.drain(<-l.events)
+					batch, _ = l.inbox.Take(context.Background(), nil)
 				}
 				l.tick(batch)
 			}
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -46,9 +46,8 @@
 	idleConnections = 16
 	// stopMargin is the time before the end of the grace period at which the process ends whatever still runs.
 	stopMargin = 250 * time.Millisecond
-	// idleCaller is how long an idle connection of a caller is kept. Callers reuse connections up to four fifths of the operators' limit,
-	// so a longer time cuts none.
-	idleCaller = 90 * time.Second
+	// idleCaller is how long an idle connection of a caller is kept when operators state no shorter time.
+	idleCaller = 10 * time.Minute
 	// headerTimeout bounds how long a caller may take to send its header.
 	headerTimeout = 10 * time.Second
 	// headerBytes bounds the header of a request.
@@ -112,7 +111,8 @@
 		Systems: systems(settings), Executor: &executor{peers: peers, observer: n.observer, followers: followers}, Now: time.Now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	servers, err := n.listen(ctx, n.handlers(self, pool, orders))
+	idle := &listener.Idle{Snapshot: n.loop.Snapshot}
+	servers, err := n.listen(ctx, idle, n.handlers(self, pool, orders))
 	if err != nil {
 		return errors.Join(err, closePeers())
 	}
@@ -123,6 +123,7 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return n.loop.Run(running) })
+	group.Go(func() error { return idle.Run(running) })
 	group.Go(func() error {
 		return peers.Receive(func(m modeler.Message) { n.loop.Post(modeler.PeerReceived{Message: m}) })
 	})
--- a/internal/fleet/assembler/server.go
+++ b/internal/fleet/assembler/server.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+
+	"damaskpick.example/damaskpick/internal/fleet/listener"
 )
 
 // server is a listening HTTP server.
@@ -15,7 +17,7 @@
 }
 
 // listen opens all addresses before any is served.
-func (n *Node) listen(ctx context.Context, handlers map[string]*paths) ([]server, error) {
+func (n *Node) listen(ctx context.Context, idle *listener.Idle, handlers map[string]*paths) ([]server, error) {
 	var servers []server
 	for address, handler := range handlers {
 		l, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
@@ -27,6 +29,7 @@
 		}
 		servers = append(servers, server{listener: l, http: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCaller, MaxHeaderBytes: headerBytes,
+			ConnState: idle.Track,
 		}})
 	}
 	return servers, nil
--- a/internal/fleet/dialer/dialer_test.go
+++ b/internal/fleet/dialer/dialer_test.go
@@ -117,6 +117,42 @@
 	}
 }
 
+// TestMostIdle guards against nodes that together keep more idle connections than an endpoint accepts.
+func TestMostIdle(t *testing.T) {
+	tests := []struct {
+		name       string
+		most, kept int
+	}{{"endpoint's share", 2, 2}, {"no limit of the endpoint", 0, 3}, {"more than the pool's", 9, 3}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, accepted := scripted(t, answer("r1", "one"), answer("r1", "one"))
+			pool, closePool := dialer.NewPool(3)
+			defer closePool()
+			for round := range 2 {
+				const together = 5
+				open := make([]*dialer.Exchange, 0, together)
+				for range together {
+					header := http.Header{}
+					header.Set("Request-Id", "r1")
+					x, err := pool.Send(t.Context(), address, dialer.Outgoing{Method: http.MethodGet, URI: "/", Host: "h", Header: header, MostIdle: tt.most})
+					assert.NilError(t, err)
+					response, err := x.Answer(http.MethodGet, time.Second, func(http.Header) bool { return true })
+					assert.NilError(t, err)
+					_, err = io.Copy(io.Discard, response.Body)
+					assert.NilError(t, err)
+					open = append(open, x)
+				}
+				for _, x := range open {
+					x.Close(true)
+				}
+				// The second round takes what the first one left.
+				assert.Equal(t, int(pool.Dialed()), together+round*(together-tt.kept))
+			}
+			assert.Equal(t, accepted(), 10-tt.kept)
+		})
+	}
+}
+
 // TestAnswerErrors guards against a cut or foreign answer that is taken for a whole one.
 func TestAnswerErrors(t *testing.T) {
 	tests := []struct {
--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -27,12 +27,15 @@
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
+	// MostIdle bounds the idle connections that are kept to the endpoint; zero means the bound of the pool.
+	MostIdle int
 }
 
 // Exchange is a request that was sent on a connection. Close must be called once.
 type Exchange struct {
 	pool     *Pool
 	conn     *Conn
+	mostIdle int
 	response *http.Response
 	// written delivers the end of the writing of the body.
 	written chan error
@@ -63,7 +66,7 @@
 	if err != nil {
 		return nil, SendError{cause: fmt.Errorf("connect: %w", err)}
 	}
-	x := &Exchange{pool: p, conn: conn, written: make(chan error, 1)}
+	x := &Exchange{pool: p, conn: conn, mostIdle: request.MostIdle, written: make(chan error, 1)}
 	x.stopWatch = context.AfterFunc(ctx, conn.discard)
 	head := request.head()
 	if len(request.Body) <= inlineBody {
@@ -142,7 +145,7 @@
 	select {
 	case err := <-x.written:
 		if err == nil && x.stopWatch() {
-			x.pool.Put(x.conn, keepAlive(x.response.Header))
+			x.pool.Put(x.conn, keepAlive(x.response.Header), x.mostIdle)
 			return
 		}
 	default:
--- a/internal/fleet/dialer/pool.go
+++ b/internal/fleet/dialer/pool.go
@@ -46,7 +46,7 @@
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	// most bounds the idle connections of one address.
+	// most bounds the idle connections of one address, whatever the endpoint accepts.
 	most int
 	mu   sync.Mutex
 	// idle holds the connections of each address, the one used last at the end.
@@ -125,8 +125,9 @@
 	return conn
 }
 
-// Put gives a connection back after a complete answer. keep is the time that the endpoint keeps it idle; zero if it did not say.
-func (p *Pool) Put(conn *Conn, keep time.Duration) {
+// Put gives a connection back after a complete answer. keep is the time that the endpoint keeps it idle, zero if it did not say. most bounds
+// the idle connections of the endpoint, zero if it states no limit.
+func (p *Pool) Put(conn *Conn, keep time.Duration, most int) {
 	conn.expires = time.Now().Add(idleTime)
 	if keep > 0 {
 		conn.expires = time.Now().Add(keep - idleMargin)
@@ -135,8 +136,11 @@
 		conn.discard()
 		return
 	}
+	if most <= 0 || most > p.most {
+		most = p.most
+	}
 	p.mu.Lock()
-	full := p.closed || len(p.idle[conn.address]) >= p.most
+	full := p.closed || len(p.idle[conn.address]) >= most
 	if !full {
 		p.idle[conn.address] = append(p.idle[conn.address], conn)
 	}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -175,7 +175,7 @@
 			digest = s.digest(tick.Now, world)
 		}
 	}
-	greeted, elects := lowest(world)
+	greeted, elects := lowest(tick.Now, world)
 	for id, node := range world.Nodes.All() {
 		if !node.HeardAt.IsZero() && tick.Now.Sub(node.HeardAt) > forgetAfter && !hello {
 			continue
@@ -183,7 +183,7 @@
 		if world.Coordinates() || id == world.Coordinator || hello && (elects || greeted[id]) {
 			tick.Emit(modeler.Send{To: node, Message: message})
 			if digest != nil {
-				tick.Emit(modeler.Send{To: node, Message: modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: *digest}})
+				tick.Emit(modeler.Send{To: node, Message: world.Message(*digest)})
 			}
 		}
 	}
@@ -194,11 +194,14 @@
 	tick.WakeAt(earlier(s.nextBeat, s.nextHello))
 }
 
-// lowest returns the other nodes of lowest rank and whether this node is one of them.
-func lowest(world *modeler.World) (others map[modeler.NodeID]bool, self bool) {
+// lowest returns the other nodes of lowest rank among those that live, and whether this node is one of them. Nodes that ended keep their
+// rows, so that they would fill the list after some time.
+func lowest(now time.Time, world *modeler.World) (others map[modeler.NodeID]bool, self bool) {
 	nodes := []modeler.Node{world.Self}
 	for _, node := range world.Nodes.All() {
-		nodes = append(nodes, node)
+		if Live(node, now) || node.HeardAt.IsZero() {
+			nodes = append(nodes, node)
+		}
 	}
 	slices.SortFunc(nodes, func(a, b modeler.Node) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.ID, b.ID)) })
 	others = map[modeler.NodeID]bool{}
@@ -226,7 +229,7 @@
 			body.Running = append(body.Running, a)
 		}
 	}
-	return modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: body}
+	return world.Message(body)
 }
 
 func (s *System) digest(now time.Time, world *modeler.World) *modeler.Digest {
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -141,6 +141,21 @@
 	}
 }
 
+// TestElectorsAreReplaced guards against greetings that only dead nodes get: a node that cannot hear the coordinator must then know another
+// one.
+func TestElectorsAreReplaced(t *testing.T) {
+	c := newCluster(14)
+	c.run(3 * time.Second)
+	for i := range 7 {
+		c.dead[name(i)] = true
+	}
+	c.run(10 * time.Second)
+	assert.DeepEqual(t, c.coordinators(), map[modeler.NodeID]int{"n07": 7})
+	c.cut = func(from, to modeler.NodeID) bool { return from == "n07" && to == "n13" }
+	c.run(4 * time.Second)
+	assert.DeepEqual(t, c.coordinators(), map[modeler.NodeID]int{"n07": 6, "n08": 1})
+}
+
 // TestAlive guards against callers that are sent to a node which has ended, and against a node that runs and gets none.
 func TestAlive(t *testing.T) {
 	c := newCluster(12)
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -126,9 +126,22 @@
 	}
 	return dialer.Outgoing{
 		Method: p.call.Method, URI: p.call.URI, Host: p.call.Host, Header: f.Protocol.AttemptHeader(p.call.Header, attempt), Body: p.call.Body,
+		MostIdle: f.mostIdle(p.call.Service),
 	}
 }
 
+// idlePart is the part of an endpoint's connections that all nodes together keep idle, so that those in use find room.
+const idlePart = 0.5
+
+// mostIdle is this node's share of the idle connections to an endpoint.
+func (f *Forwarder) mostIdle(service modeler.Service) int {
+	if service.ConnectionLimit <= 0 {
+		return 0
+	}
+	nodes := max(len(f.Control.Snapshot().Alive), 1)
+	return max(1, int(idlePart*float64(service.ConnectionLimit)/float64(nodes)))
+}
+
 // silence is how long the endpoint may take until its answer begins, before another one is asked.
 func (f *Forwarder) silence(p *progress, plan modeler.Plan) time.Duration {
 	if !p.call.Route.Repeatable() || p.ran+1 >= p.call.Route.Attempts {
@@ -217,29 +230,41 @@
 		f.mayHaveRun(p)
 		return f.cause(ctx, p, guard, err), false
 	}
-	failed := response.StatusCode >= http.StatusInternalServerError
-	if failed && f.repeatFailure(ctx, p) {
-		return modeler.Failed, true
-	}
-	p.ran++
 	if untrue(response.StatusCode) {
 		// Towards callers these statuses promise that the request did not run, which the endpoint did not say.
-		p.mayRun = true
+		f.mayHaveRun(p)
 		return modeler.Failed, true
 	}
+	answer := &answer{status: response.StatusCode, header: endToEnd(response.Header), body: body}
+	if response.StatusCode >= http.StatusInternalServerError {
+		// Another endpoint may do better; if none is asked or none answers, the caller gets this failure.
+		f.mayHaveRun(p)
+		p.failure = answer
+		return modeler.Failed, true
+	}
+	p.ran++
+	answer.deliver(p, sink)
+	return modeler.Answered, true
+}
+
+// answer is a whole answer of an endpoint.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// deliver passes the answer on. A caller that has left is told nothing; the server closes its connection.
+func (a *answer) deliver(p *progress, sink Sink) {
 	p.begun = true
-	p.result.Status, p.result.Code, p.result.First = Delivered, response.StatusCode, time.Since(p.call.Arrived)
-	if err := sink.Begin(response.StatusCode, endToEnd(response.Header), len(body)); err != nil {
-		return modeler.Answered, true
+	p.result.Status, p.result.Code, p.result.First = Delivered, a.status, time.Since(p.call.Arrived)
+	err := sink.Begin(a.status, a.header, len(a.body))
+	if err == nil {
+		_, err = sink.Write(a.body)
 	}
-	// A caller that has left is told nothing; the server closes its connection.
-	if _, err := sink.Write(body); err != nil {
+	if err != nil {
 		p.result.Status = Left
 	}
-	if failed {
-		return modeler.Failed, true
-	}
-	return modeler.Answered, true
 }
 
 // untrue tells whether a status promises to callers what the endpoint did not promise.
@@ -252,16 +277,6 @@
 	}
 }
 
-// repeatFailure counts an attempt that failed and tells whether the call goes to another endpoint instead of passing the failure on.
-func (f *Forwarder) repeatFailure(ctx context.Context, p *progress) bool {
-	route := p.call.Route
-	again := route.Repeatable() && p.ran+1 < route.Attempts && p.sends < maxSends && time.Until(p.deadline) > minLeft && ctx.Err() == nil
-	if again {
-		f.mayHaveRun(p)
-	}
-	return again
-}
-
 // endToEnd returns the header without what concerns one connection only.
 func endToEnd(header http.Header) http.Header {
 	kept := make(http.Header, len(header))
@@ -295,7 +310,8 @@
 			p.mayRun = true
 			return f.cause(ctx, p, guard, err), false
 		}
-		guard.reset(f.pause(p))
+		// The time that a slow caller takes is not the engine's.
+		guard.stop()
 		if !started {
 			started = true
 			f.Control.Post(modeler.AttemptStarted{ID: id})
@@ -311,12 +327,12 @@
 		if event.id != "" {
 			p.lastEvent = event.id
 		}
-		if events.buffered() {
-			continue
-		}
-		if err := sink.Flush(); err != nil {
-			return modeler.Abandoned, false
+		if !events.buffered() {
+			if err := sink.Flush(); err != nil {
+				return modeler.Abandoned, false
+			}
 		}
+		guard.reset(f.pause(p))
 	}
 }
 
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -129,6 +129,8 @@
 	mayRun bool
 	// fault is the engine that the last refusal blamed, if it is not the one that refused.
 	fault modeler.EndpointID
+	// failure is the last failure that an endpoint answered with.
+	failure *answer
 	// prepaid is set if the next repeat is taken from the budget already.
 	prepaid bool
 	// lastEvent is the id of the last event passed on, and begun tells whether the header was.
@@ -144,19 +146,28 @@
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
 	f.Budget.Earn(call.Service.ID)
+	f.attempts(ctx, p, sink)
+	if p.failure != nil && !p.begun && !errors.Is(ctx.Err(), context.Canceled) {
+		p.failure.deliver(p, sink)
+	}
+	return f.ended(ctx, p)
+}
+
+// attempts sends the call to endpoints until one has answered it or none may be asked any more.
+func (f *Forwarder) attempts(ctx context.Context, p *progress, sink Sink) {
 	for {
 		decision, err := f.Control.Place(ctx, f.request(p))
 		if err != nil {
-			return f.ended(ctx, p)
+			return
 		}
 		if decision.Refused {
 			p.result.Reason, p.result.RetryAfter = decision.Reason, decision.RetryAfter
-			return f.ended(ctx, p)
+			return
 		}
 		outcome := f.attempt(ctx, p, decision.Plan, sink)
 		p.result.Last = outcome
 		if outcome == modeler.Answered || outcome == modeler.Abandoned {
-			return f.ended(ctx, p)
+			return
 		}
 		if p.fault != "" {
 			p.tried = append(p.tried, p.fault)
@@ -164,10 +175,10 @@
 			p.tried = append(p.tried, decision.Plan.Endpoint.ID)
 		}
 		if !f.mayRepeat(ctx, p) {
-			return f.ended(ctx, p)
+			return
 		}
 		if f.OnRetry != nil {
-			f.OnRetry(call, p.sends, outcome, decision.Plan.Endpoint.ID)
+			f.OnRetry(p.call, p.sends, outcome, decision.Plan.Endpoint.ID)
 		}
 	}
 }
@@ -208,7 +219,7 @@
 		ID:   modeler.RequestID(string(call.Fields.ID) + "/" + strconv.Itoa(p.sends) + "/" + strconv.FormatUint(f.Self.Incarnation%1e4, 36)),
 		Node: f.Self.ID, Service: call.Service.ID, Kind: call.Route.Kind, Prompt: call.Fields.Prompt, Output: call.Fields.Output,
 		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: deadline, Gap: call.Route.GapTarget,
-		Priority: priority, Fingerprint: call.Fingerprint, Tried: p.tried, DataCentre: f.Self.DataCentre, Resumed: p.begun,
+		Priority: priority, Fingerprint: call.Fingerprint, Tried: p.tried, DataCentre: f.Self.DataCentre,
 	}
 }
 
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -143,6 +143,15 @@
 			first: platformtest.EndpointFault{Status: 500}, second: platformtest.EndpointFault{Status: 500},
 			status: forwarder.Delivered, code: 500, runs: [2]int{1, 1},
 		},
+		{
+			name: "safe failure passed on without a budget for a repeat", kind: modeler.Safe, path: "/stock/1",
+			first: platformtest.EndpointFault{Status: 500}, status: forwarder.Delivered, code: 500, runs: [2]int{1, 0},
+		},
+		{
+			name: "safe failure passed on when the repeat gets no answer", kind: modeler.Safe, path: "/stock/1", slack: 100,
+			first: platformtest.EndpointFault{Status: 500}, second: platformtest.EndpointFault{Silent: true},
+			status: forwarder.Delivered, code: 500, runs: [2]int{1, 1},
+		},
 		{
 			name: "without a budget a silent endpoint is waited for", kind: modeler.Safe, path: "/stock/1",
 			first: platformtest.EndpointFault{Silent: true}, status: forwarder.TimedOut, runs: [2]int{1, 0},
--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -50,6 +50,11 @@
 	}
 	configuration := snapshot.Configuration
 	fields := c.Decoder.RequestFields(r.Header)
+	if most := configuration.Limits.HeaderBytes; most > 0 && headerSize(r) > most {
+		http.Error(w, "header too large", http.StatusRequestHeaderFieldsTooLarge)
+		c.Observer.Rejected(fields.ID, http.StatusRequestHeaderFieldsTooLarge, configuration.Version, snapshot.OperatorsAge)
+		return
+	}
 	limit := configuration.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
@@ -77,6 +82,18 @@
 	finish(w, result)
 }
 
+// headerSize returns the size of the header as it was sent, without the white space that callers may add.
+func headerSize(r *http.Request) int {
+	const perLine = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + perLine + len("Host") + len(r.Host) + perLine
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + perLine
+		}
+	}
+	return size
+}
+
 func (c *Callers) rejectBody(w http.ResponseWriter, snapshot *modeler.Snapshot, fields modeler.RequestFields, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/fleet/listener/listener_test.go
+++ b/internal/fleet/listener/listener_test.go
@@ -81,6 +81,10 @@
 			name: "host with port and capitals", host: "DESK.example:8080", path: "/stock/1", key: platformtest.Credential, configuration: known,
 			code: 503, retryAfter: "1.500",
 		},
+		{
+			name: "header over the limit", host: platformtest.Host, path: "/stock/" + strings.Repeat("x", 16384), key: platformtest.Credential,
+			configuration: known, code: 431,
+		},
 		{
 			name: "body over the limit", host: platformtest.Host, path: "/stock/1", key: platformtest.Credential, configuration: known,
 			body: strings.NewReader(strings.Repeat("x", 65537)), code: 413, closed: "close",
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -51,7 +51,7 @@
 		Kind: modeler.Kind(min(r.GetKind(), uint32(modeler.Stream))), Prompt: modeler.Tokens(r.GetPrompt()), Output: modeler.Tokens(r.GetOutput()),
 		Arrived: now.Add(-microseconds(r.GetAge())), Due: now.Add(microseconds(r.GetDue())), Deadline: now.Add(microseconds(r.GetDeadline())),
 		Gap: microseconds(r.GetGap()), Priority: int(r.GetPriority()), Fingerprint: modeler.Fingerprint(r.GetFingerprint()), Tried: tried,
-		DataCentre: modeler.DataCentreID(r.GetDataCentre()), Resumed: r.GetResumed(),
+		DataCentre: modeler.DataCentreID(r.GetDataCentre()),
 	}
 }
 
@@ -103,7 +103,6 @@
 			Endpoint: modeler.Endpoint{
 				ID: modeler.EndpointID(c.GetId()), Service: modeler.ServiceID(c.GetService()), Address: c.GetAddress(),
 				DataCentre: modeler.DataCentreID(c.GetDataCentre()), Slots: int(c.GetSlots()), Draining: c.GetDraining(), Born: c.GetBorn(),
-				Sequence: c.GetSequence(),
 			},
 			ColdFor: microseconds(c.GetColdFor()), Offset: c.GetOffset(), Removed: c.GetRemoved(), Unreadable: c.GetUnreadable(),
 		})
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -45,7 +45,7 @@
 		Prompt: int64(r.Prompt), Output: int64(r.Output),
 		Age: now.Sub(r.Arrived).Microseconds(), Due: r.Due.Sub(now).Microseconds(), Deadline: r.Deadline.Sub(now).Microseconds(),
 		Gap: r.Gap.Microseconds(), Priority: int32(r.Priority), Fingerprint: uint64(r.Fingerprint), Tried: tried,
-		DataCentre: string(r.DataCentre), Resumed: r.Resumed,
+		DataCentre: string(r.DataCentre),
 	}
 }
 
@@ -87,7 +87,7 @@
 		e := c.Endpoint
 		news.Changes = append(news.Changes, &EndpointChange{
 			Id: string(e.ID), Service: string(e.Service), Address: e.Address, DataCentre: string(e.DataCentre), Slots: int32(e.Slots),
-			Draining: e.Draining, Born: e.Born, Sequence: e.Sequence, ColdFor: c.ColdFor.Microseconds(), Offset: c.Offset,
+			Draining: e.Draining, Born: e.Born, ColdFor: c.ColdFor.Microseconds(), Offset: c.Offset,
 			Removed: c.Removed, Unreadable: c.Unreadable,
 		})
 	}
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -17,7 +17,7 @@
 	return modeler.Request{
 		ID: "r/0/x", Node: "n", Service: "s", Kind: modeler.Stream, Prompt: 5000, Output: 900, Arrived: now.Add(-time.Second),
 		Due: now.Add(-time.Millisecond), Deadline: now.Add(time.Minute), Gap: 250 * time.Millisecond, Priority: -1, Fingerprint: 1 << 63,
-		Tried: []modeler.EndpointID{"e1", "e2"}, DataCentre: "dc", Resumed: true,
+		Tried: []modeler.EndpointID{"e1", "e2"}, DataCentre: "dc",
 	}
 }
 
@@ -51,7 +51,7 @@
 		}},
 		{"endpoint news", modeler.EndpointNews{From: 3, Next: 9, Changes: []modeler.EndpointChange{
 			{
-				Endpoint: modeler.Endpoint{ID: "e", Service: "s", Address: "a", DataCentre: "dc", Slots: 6, Draining: true, Born: 7, Sequence: 8},
+				Endpoint: modeler.Endpoint{ID: "e", Service: "s", Address: "a", DataCentre: "dc", Slots: 6, Draining: true, Born: 7},
 				ColdFor:  time.Second, Offset: 4,
 			},
 			{Endpoint: modeler.Endpoint{ID: "f"}, Offset: 5, Removed: true, Unreadable: true},
--- a/internal/fleet/modeler/configuration.go
+++ b/internal/fleet/modeler/configuration.go
@@ -1,7 +1,6 @@
 package modeler
 
 import (
-	"slices"
 	"strings"
 	"time"
 )
@@ -84,8 +83,6 @@
 	ID ServiceID
 	// ConnectionLimit is the number of connections that one endpoint accepts from all nodes together.
 	ConnectionLimit int
-	// ColdStart is how long an endpoint stays cold after its start.
-	ColdStart time.Duration
 	// ColdRate is the number of requests per second that a cold endpoint sustains. Zero means that cold endpoints need no care.
 	ColdRate float64
 	// Engine is the zero value for plain services.
@@ -97,8 +94,6 @@
 
 // EngineProfile gives the speed of a model engine.
 type EngineProfile struct {
-	// Slots is the number of requests that run at once.
-	Slots int
 	// Memory is the KV memory of one engine.
 	Memory Tokens
 	// Stride is the number of token steps of a pass that generates.
@@ -115,10 +110,6 @@
 	PerMillionPairs time.Duration
 	// Chunk is the largest number of prompt tokens in one step.
 	Chunk int
-	// Hop is added to each step of a request whose prompt is held by several engines.
-	Hop time.Duration
-	// UsualPrompt is the mean prompt of the service's requests.
-	UsualPrompt Tokens
 }
 
 // Reading returns the time that one engine without other work needs to process a prompt.
@@ -145,12 +136,10 @@
 // IdlePass returns the time of the steps of a pass that generates, without the costs per request.
 func (p EngineProfile) IdlePass() time.Duration { return p.Step * time.Duration(max(p.Stride, 1)) }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send. Zero means no limit of the operators.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	// HeaderTimeout bounds the time that a caller takes to send its header.
-	HeaderTimeout time.Duration
 	// IdleTimeout is the time after which an idle connection of a caller is closed.
 	IdleTimeout time.Duration
 }
@@ -239,13 +228,3 @@
 
 // HasMembers tells whether callers need a credential.
 func (c Configuration) HasMembers() bool { return c.members != nil }
-
-// Hosts returns the hosts of all routes in order.
-func (c Configuration) Hosts() []string {
-	hosts := make([]string, 0, len(c.routes))
-	for h := range c.routes {
-		hosts = append(hosts, h)
-	}
-	slices.Sort(hosts)
-	return hosts
-}
--- a/internal/fleet/modeler/endpoint.go
+++ b/internal/fleet/modeler/endpoint.go
@@ -19,9 +19,7 @@
 	ColdUntil time.Time
 	// Born is the start of the endpoint's process in Unix milliseconds, as the endpoint reports it.
 	Born int64
-	// Sequence is the endpoint's count of orders.
-	Sequence int64
-	// ChangedAt is the offset of the record that last changed more than Sequence.
+	// ChangedAt is the offset of the record that last changed something beside the cold start.
 	ChangedAt int64
 	// MissingSince is set while the entry has vanished from the store and the store itself was disturbed.
 	MissingSince time.Time
@@ -39,7 +37,7 @@
 	return e
 }
 
-// Differs tells whether another entry of the endpoint says something new about it, beside its cold start and its count of orders.
+// Differs tells whether another entry of the endpoint says something new about it, beside its cold start.
 func (e Endpoint) Differs(next Endpoint) bool {
 	return e.Service != next.Service || e.Address != next.Address || e.DataCentre != next.DataCentre || e.Slots != next.Slots ||
 		e.Draining != next.Draining || e.Born != next.Born || !e.MissingSince.IsZero()
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -29,8 +29,6 @@
 	DataCentre DataCentreID
 	// Favour multiplies the weight of requests whose kind is served worse than others. Zero counts as 1.
 	Favour float64
-	// Resumed requests have delivered events already.
-	Resumed bool
 }
 
 // WithTried returns the request with one more endpoint that failed it.
@@ -56,8 +54,6 @@
 	Placed time.Time
 	// Started is when the first event came; zero before.
 	Started time.Time
-	// Seen is when the node that serves the request last reported it.
-	Seen time.Time
 }
 
 // WithStarted returns the assignment after its first event.
@@ -66,12 +62,6 @@
 	return a
 }
 
-// WithSeen returns the assignment after a report of its node.
-func (a Assignment) WithSeen(at time.Time) Assignment {
-	a.Seen = at
-	return a
-}
-
 // Plan says where a request runs.
 type Plan struct {
 	Endpoint Endpoint
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -130,6 +130,11 @@
 	return false
 }
 
+// Message returns a message of this node.
+func (w *World) Message(body MessageBody) Message {
+	return Message{From: w.Self.ID, Incarnation: w.Self.Incarnation, Body: body}
+}
+
 // Tick is the input and output of one run of all systems.
 type Tick struct {
 	Now    time.Time
@@ -168,12 +173,8 @@
 	Configuration Configuration
 	// Alive are the nodes that callers may use, this one included unless it is leaving.
 	Alive []Node
-	// Quarantined holds the fingerprints that are refused.
-	Quarantined map[Fingerprint]bool
-	// Out are the data centres that get no work.
-	Out map[DataCentreID]bool
-	// Gone tells which endpoints an attempt must not be sent to any more, by absence.
-	Endpoints map[EndpointID]Endpoint
+	// Endpoints is the number of endpoints that have an entry.
+	Endpoints int
 	// OperatorsAge and EndpointsAge are the ages of what the store said when the snapshot was taken.
 	OperatorsAge, EndpointsAge time.Duration
 	Waiting                    int
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -36,7 +36,7 @@
 	o.set.NewGauge("damaskpick_configuration_version", func() float64 { return float64(snapshot().Configuration.Version) })
 	o.set.NewGauge("damaskpick_operators_age_seconds", func() float64 { return snapshot().OperatorsAge.Seconds() })
 	o.set.NewGauge("damaskpick_endpoints_age_seconds", func() float64 { return snapshot().EndpointsAge.Seconds() })
-	o.set.NewGauge("damaskpick_endpoints", func() float64 { return float64(len(snapshot().Endpoints)) })
+	o.set.NewGauge("damaskpick_endpoints", func() float64 { return float64(snapshot().Endpoints) })
 	o.set.NewGauge("damaskpick_nodes_alive", func() float64 { return float64(len(snapshot().Alive)) })
 	o.set.NewGauge("damaskpick_coordinates", func() float64 {
 		if s := snapshot(); s.Coordinator == s.Self.ID {
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -194,7 +194,7 @@
 		known, ok := world.Assignments.Get(a.Request.ID)
 		switch {
 		case !ok:
-			world.Assign(a.WithSeen(tick.Now))
+			world.Assign(a)
 		case !a.Started.IsZero() && known.Started.IsZero():
 			s.started(tick, world, a.Request.ID)
 		}
@@ -337,7 +337,7 @@
 }
 
 func (s *System) assign(tick *modeler.Tick, world *modeler.World, request modeler.Request, plan modeler.Plan) {
-	world.Assign(modeler.Assignment{Request: request, Plan: plan, Placed: tick.Now, Seen: tick.Now})
+	world.Assign(modeler.Assignment{Request: request, Plan: plan, Placed: tick.Now})
 	if plan.Part <= 0 {
 		return
 	}
@@ -357,7 +357,7 @@
 }
 
 func (s *System) send(tick *modeler.Tick, world *modeler.World, to modeler.Node, body modeler.MessageBody) {
-	tick.Emit(modeler.Send{To: to, Message: modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: body}})
+	tick.Emit(modeler.Send{To: to, Message: world.Message(body)})
 }
 
 // sweep drops what nodes that are gone left behind.
--- a/internal/fleet/placer/policy_test.go
+++ b/internal/fleet/placer/policy_test.go
@@ -16,7 +16,7 @@
 
 // profile is that of the users' engines.
 var profile = modeler.EngineProfile{
-	Slots: 16, Memory: 405_000, Stride: 34, Step: 1310 * time.Microsecond, PerWriter: 917 * time.Nanosecond,
+	Memory: 405_000, Stride: 34, Step: 1310 * time.Microsecond, PerWriter: 917 * time.Nanosecond,
 	PerThousandContext: 2130 * time.Nanosecond, ReadRate: 154_000, PerMillionPairs: 162 * time.Microsecond, Chunk: 2048,
 }
 
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -129,8 +129,7 @@
 func (s *System) tell(tick *modeler.Tick, world *modeler.World) {
 	end := world.Ends[modeler.Endpoints]
 	if len(s.changes) > 0 && world.Coordinates() && s.sent > 0 {
-		body := modeler.EndpointNews{From: s.sent, Next: end, Changes: s.changes}
-		message := modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: body}
+		message := world.Message(modeler.EndpointNews{From: s.sent, Next: end, Changes: s.changes})
 		for _, node := range world.Nodes.All() {
 			if elector.Live(node, tick.Now) {
 				tick.Emit(modeler.Send{To: node, Message: message})
--- a/internal/fleet/runner/loop.go
+++ b/internal/fleet/runner/loop.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"damaskpick.example/damaskpick/internal/control/batcher"
 	"damaskpick.example/damaskpick/internal/fleet/elector"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
@@ -24,9 +24,6 @@
 	snapshotInterval = 100 * time.Millisecond
 )
 
-// ErrStopped is returned once the control goroutine has ended.
-var ErrStopped = errors.New("control loop has stopped")
-
 // Executor carries out effects. Execute must not block.
 type Executor interface {
 	Execute(effects []modeler.Effect)
@@ -43,15 +40,16 @@
 
 // Loop runs ticks over a World.
 type Loop struct {
-	options  Options
-	world    *modeler.World
-	events   chan envelope
-	done     chan struct{}
-	snapshot atomic.Pointer[modeler.Snapshot]
-	waiters  map[modeler.RequestID]chan modeler.Decision
-	// published is when the snapshot was built, and revisions those of the tables in it.
+	options Options
+	world   *modeler.World
+	inbox   *batcher.Inbox[envelope]
+	// closeInbox is called when Run ends.
+	closeInbox func()
+	snapshot   atomic.Pointer[modeler.Snapshot]
+	waiters    map[modeler.RequestID]chan modeler.Decision
+	// published is when the snapshot was built, and offset that of the configuration in it.
 	published time.Time
-	revisions [3]uint64
+	offset    int64
 }
 
 // envelope is an event and the channel that waits for its answer.
@@ -62,43 +60,30 @@
 
 // New returns a loop over world. Run must be called once.
 func New(world *modeler.World, options Options) *Loop {
-	l := &Loop{
-		options: options, world: world, events: make(chan envelope, eventBuffer), done: make(chan struct{}),
-		waiters: map[modeler.RequestID]chan modeler.Decision{},
-	}
+	l := &Loop{options: options, world: world, waiters: map[modeler.RequestID]chan modeler.Decision{}}
+	l.inbox, l.closeInbox = batcher.NewInbox[envelope](eventBuffer, maxBatch)
 	l.publish(options.Now())
 	return l
 }
 
-// Post hands over an event. It waits while the buffer is full and drops the event once the loop has stopped.
+// Post hands over an event. It waits while the inbox is full and drops the event once the loop has stopped.
 func (l *Loop) Post(event modeler.Event) {
-	select {
-	case l.events <- envelope{event: event}:
-	case <-l.done:
-	}
+	_ = l.inbox.Put(context.Background(), envelope{event: event})
 }
 
 // Place asks for a place for a request. If ctx ends first, the request is withdrawn.
 func (l *Loop) Place(ctx context.Context, request modeler.Request) (modeler.Decision, error) {
 	answer := make(chan modeler.Decision, 1)
-	select {
-	case l.events <- envelope{event: modeler.PlaceAsked{Request: request}, decision: answer}:
-	case <-ctx.Done():
-		return modeler.Decision{}, ctx.Err()
-	case <-l.done:
-		return modeler.Decision{}, ErrStopped
+	if err := l.inbox.Put(ctx, envelope{event: modeler.PlaceAsked{Request: request}, decision: answer}); err != nil {
+		return modeler.Decision{}, err
 	}
-	select {
-	case decision := <-answer:
-		return decision, nil
-	case <-ctx.Done():
+	decision, err := batcher.Await(ctx, l.inbox, answer)
+	if err != nil {
 		l.Post(modeler.PlaceCancelled{ID: request.ID})
 		// A place given meanwhile is returned.
 		l.Post(modeler.AttemptEnded{ID: request.ID, Outcome: modeler.Abandoned})
-		return modeler.Decision{}, ctx.Err()
-	case <-l.done:
-		return modeler.Decision{}, ErrStopped
 	}
+	return decision, err
 }
 
 // Snapshot returns the newest published view.
@@ -106,36 +91,18 @@
 
 // Run runs ticks until ctx ends. A tick is caused by an event or by the next deadline.
 func (l *Loop) Run(ctx context.Context) error {
-	defer close(l.done)
+	defer l.closeInbox()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		var batch []envelope
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case e := <-l.events:
-			batch = l.drain(e)
-		case <-timer.C:
+		batch, err := l.inbox.Take(ctx, timer.C)
+		if err != nil {
+			return err
 		}
 		timer.Reset(l.tick(batch))
 	}
 }
 
-// drain collects the events that wait already.
-func (l *Loop) drain(first envelope) []envelope {
-	batch := []envelope{first}
-	for len(batch) < maxBatch {
-		select {
-		case e := <-l.events:
-			batch = append(batch, e)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 // tick runs all systems and returns the time until the next tick.
 func (l *Loop) tick(batch []envelope) time.Duration {
 	tick := &modeler.Tick{Now: l.options.Now(), Rand: l.options.Rand}
@@ -177,13 +144,12 @@
 	return rest
 }
 
-// publishDue builds a snapshot at once when configuration, endpoints or nodes changed, else at intervals.
+// publishDue builds a snapshot at once when the configuration changed, else at intervals.
 func (l *Loop) publishDue(now time.Time) {
-	revisions := [3]uint64{l.world.Endpoints.Revision(), l.world.Out.Revision(), uint64(l.world.Configuration.Offset)}
-	if revisions == l.revisions && now.Sub(l.published) < snapshotInterval {
+	if offset := l.world.Configuration.Offset; offset == l.offset && now.Sub(l.published) < snapshotInterval {
 		return
 	}
-	l.revisions = revisions
+	l.offset = l.world.Configuration.Offset
 	l.publish(now)
 }
 
@@ -191,21 +157,9 @@
 	w := l.world
 	s := &modeler.Snapshot{
 		Self: w.Self, Coordinator: w.Coordinator, Configuration: w.Configuration, Alive: elector.Alive(w, now), Waiting: w.Waiting.Len(),
-		Quarantined: map[modeler.Fingerprint]bool{}, Out: map[modeler.DataCentreID]bool{},
-		Endpoints:    make(map[modeler.EndpointID]modeler.Endpoint, w.Endpoints.Len()),
+		Endpoints:    w.Endpoints.Len(),
 		OperatorsAge: now.Sub(w.ReadAt[modeler.Operators]), EndpointsAge: now.Sub(w.ReadAt[modeler.Endpoints]),
 	}
-	for id := range w.Out.All() {
-		s.Out[id] = true
-	}
-	for id, endpoint := range w.Endpoints.All() {
-		s.Endpoints[id] = endpoint
-	}
-	for fingerprint, strikes := range w.Strikes.All() {
-		if strikes.Quarantined(now) {
-			s.Quarantined[fingerprint] = true
-		}
-	}
 	l.published = now
 	l.snapshot.Store(s)
 }
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -70,7 +70,7 @@
 	}
 	judge(tick, world, ended)
 	if coordinator, ok := world.Nodes.Get(world.Coordinator); ok {
-		tick.Emit(modeler.Send{To: coordinator, Message: modeler.Message{From: world.Self.ID, Incarnation: world.Self.Incarnation, Body: ended}})
+		tick.Emit(modeler.Send{To: coordinator, Message: world.Message(ended)})
 	}
 }
 
