Tell nodes what operators wrote, and let one node read when the store turns the coordinator away

Cause: every node read each record of the operators itself, and all nodes polled both topics while the store turned the coordinator away or was down. A node that the store turned away got no new configuration at all, though others knew it.

Ruled out: longer pauses alone, which leave a node that is turned away with an old configuration.

Change: the node that reads sends the newest record of each operators' key to all live nodes, and again after each beat of a node that lacks some. The follower decodes them like a listing of the store, in a goroutine of its own, since a read may wait for a silent store. While the coordinator is turned away, the elector of lowest rank that is served reads and tells in its place; other nodes wait 200 ms longer and pause up to 2 s after failed calls.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -170,17 +170,18 @@
 	}})
 }
 
+// listed removes what was not among the newest records. What another node told of meanwhile was written after the listing began.
 func (s *System) listed(tick *modeler.Tick, world *modeler.World, e modeler.TopicListed) {
 	switch e.Topic {
 	case modeler.Endpoints:
 		for id := range world.Endpoints.All() {
-			if !e.Keys[string(id)] {
+			if offset, _ := world.EndpointOffsets.Get(id); !e.Keys[string(id)] && offset < e.End {
 				s.vanished(tick, world, id, world.Ends[modeler.Endpoints], false)
 			}
 		}
 	case modeler.Operators:
-		for id := range world.Out.All() {
-			if !e.Keys[string(id)] {
+		for id, offset := range world.Out.All() {
+			if !e.Keys[string(id)] && offset < e.End {
 				world.Out.Delete(id)
 				noteDataCentre(tick, id, false, world.Ends[modeler.Operators])
 			}
--- a/internal/fleet/applier/applier_test.go
+++ b/internal/fleet/applier/applier_test.go
@@ -70,7 +70,8 @@
 		{"back", []step{{0, out(true, 1)}, {1, out(false, 2)}}, false},
 		{"older record read late", []step{{0, out(true, 1)}, {1, out(false, 2)}, {2, out(true, 1)}}, false},
 		{"out again", []step{{0, out(true, 1)}, {1, out(false, 2)}, {2, out(true, 3)}}, true},
-		{"not among the newest", []step{{0, out(true, 1)}, {1, modeler.TopicListed{Topic: modeler.Operators}}}, false},
+		{"not among the newest", []step{{0, out(true, 1)}, {1, modeler.TopicListed{Topic: modeler.Operators, End: 2}}}, false},
+		{"written after the newest were listed", []step{{0, out(true, 1)}, {1, modeler.TopicListed{Topic: modeler.Operators, End: 1}}}, true},
 		{
 			"among the newest",
 			[]step{{0, out(true, 1)}, {1, modeler.TopicListed{Topic: modeler.Operators, Keys: map[string]bool{"dc": true}}}}, true,
@@ -116,7 +117,8 @@
 			}, true,
 		},
 		{"unreadable entry", []step{{0, changed(1)}, {time.Second, failed}, {2 * time.Second, unreadable}}, false},
-		{"not among the newest", []step{{0, changed(1)}, {time.Second, modeler.TopicListed{Topic: modeler.Endpoints}}}, false},
+		{"not among the newest", []step{{0, changed(1)}, {time.Second, modeler.TopicListed{Topic: modeler.Endpoints, End: 2}}}, false},
+		{"told after the newest were listed", []step{{0, changed(1)}, {time.Second, modeler.TopicListed{Topic: modeler.Endpoints, End: 1}}}, true},
 		{
 			"nodes listed", []step{{0, changed(1)}, {time.Second, modeler.TopicListed{Topic: modeler.Nodes}}}, true,
 		},
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -248,6 +248,8 @@
 			_ = e.peers.Send(effect.To, effect.Message)
 		case modeler.Fetch:
 			e.followers[effect.Topic].Fetch(effect)
+		case modeler.Deliver:
+			e.followers[effect.Topic].Deliver(effect)
 		case modeler.Note:
 			e.observer.Note(effect)
 		}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -1,12 +1,14 @@
-// Package follower reads topics of the store and turns their records into events. Every node reads for itself, so that what it knows does
-// not depend on other nodes.
+// Package follower reads topics of the store and turns their records into events. Records that another node has read take the same way.
 package follower
 
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
@@ -35,6 +37,8 @@
 	// minBackoff and maxBackoff bound the pause after a failed call of the registrar.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// maxDeliveries bounds the deliveries that wait: each holds everything before, so that the newest would do.
+	maxDeliveries = 4
 )
 
 // Follower reads one topic when it is asked to.
@@ -45,14 +49,18 @@
 	// OnUnreadable is told about records that cannot be decoded.
 	OnUnreadable func(topic modeler.Topic, record modeler.Record, err error)
 
-	requests chan modeler.Fetch
+	requests   chan modeler.Fetch
+	deliveries chan modeler.Deliver
 	// listed is set once the newest records are known.
-	listed bool
+	listed atomic.Bool
 }
 
 // New returns a follower.
 func New(store Store, source Source, post func(modeler.Event), onUnreadable func(modeler.Topic, modeler.Record, error)) *Follower {
-	return &Follower{Store: store, Source: source, Post: post, OnUnreadable: onUnreadable, requests: make(chan modeler.Fetch, 1)}
+	return &Follower{
+		Store: store, Source: source, Post: post, OnUnreadable: onUnreadable,
+		requests: make(chan modeler.Fetch, 1), deliveries: make(chan modeler.Deliver, maxDeliveries),
+	}
 }
 
 // Fetch asks for a read. It does not wait; a request that comes while another one waits is dropped, since that one reads as far.
@@ -63,8 +71,35 @@
 	}
 }
 
-// Run carries out reads until ctx ends.
+// Deliver hands over records that another node has read. It does not wait; what is dropped is sent again.
+func (f *Follower) Deliver(delivery modeler.Deliver) {
+	select {
+	case f.deliveries <- delivery:
+	default:
+	}
+}
+
+// Run carries out reads and deliveries until ctx ends. Deliveries have their own goroutine, because they matter most while a read waits for
+// a store that is silent.
 func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.runReads(ctx) })
+	group.Go(func() error { return f.runDeliveries(ctx) })
+	return group.Wait()
+}
+
+func (f *Follower) runDeliveries(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case delivery := <-f.deliveries:
+			f.take(delivery.Page, modeler.TopicRead{Current: delivery.Current, Listed: true, Told: true})
+		}
+	}
+}
+
+func (f *Follower) runReads(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -80,7 +115,7 @@
 // read makes one call, or several for the newest records.
 func (f *Follower) read(ctx context.Context, request modeler.Fetch) error {
 	began := time.Now()
-	if !f.listed {
+	if !f.listed.Load() {
 		return f.list(ctx, began)
 	}
 	readCtx, cancel := context.WithTimeout(ctx, request.Wait+answerTimeout)
@@ -99,7 +134,7 @@
 		// The store has held the call and then found nothing.
 		current = began.Add(request.Wait)
 	}
-	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, Current: current})
+	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, Current: current, Records: page.Records})
 	return nil
 }
 
@@ -110,6 +145,12 @@
 	if err != nil {
 		return err
 	}
+	f.take(page, modeler.TopicRead{Current: began, Listed: true})
+	return nil
+}
+
+// take posts the newest records of all keys, and then what read says about the reading of them.
+func (f *Follower) take(page modeler.Page, read modeler.TopicRead) {
 	keys := map[string]bool{}
 	for _, record := range page.Records {
 		if key, ok := f.Source.Key(record.Key); ok {
@@ -118,9 +159,9 @@
 	}
 	f.deliver(page.Records)
 	f.Post(modeler.TopicListed{Topic: f.Source.Topic, Keys: keys, End: page.Next})
-	f.listed = true
-	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, Current: began})
-	return nil
+	f.listed.Store(true)
+	read.Topic, read.Next, read.Records = f.Source.Topic, page.Next, page.Records
+	f.Post(read)
 }
 
 func (f *Follower) deliver(records []modeler.Record) {
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -128,3 +128,48 @@
 		return "other"
 	}
 }
+
+// silentStore answers no call.
+type silentStore struct{ asked chan struct{} }
+
+func (s *silentStore) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (modeler.Page, error) {
+	return s.Newest(ctx, "")
+}
+
+func (s *silentStore) Newest(ctx context.Context, _ string) (modeler.Page, error) {
+	close(s.asked)
+	<-ctx.Done()
+	return modeler.Page{}, ctx.Err()
+}
+
+// TestDeliver guards against records of another node that wait behind a call to a store that is silent.
+func TestDeliver(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &silentStore{asked: make(chan struct{})}
+	var got []string
+	var read modeler.TopicRead
+	source := follower.Source{
+		Topic: modeler.Operators, Key: func(key string) (string, bool) { return key, true },
+		Decode: func(r modeler.Record) (modeler.Event, error) {
+			return modeler.EndpointRemoved{ID: modeler.EndpointID(r.Key)}, nil
+		},
+	}
+	post := func(e modeler.Event) {
+		got = append(got, describe(e))
+		if e, ok := e.(modeler.TopicRead); ok {
+			read = e
+			cancel()
+		}
+	}
+	f := follower.New(s, source, post, nil)
+	f.Fetch(modeler.Fetch{})
+	go func() {
+		<-s.asked
+		f.Deliver(modeler.Deliver{Page: modeler.Page{Records: []modeler.Record{record("a", 7)}, Next: 8}, Current: time.Unix(9, 0)})
+	}()
+	assert.ErrorIs(t, f.Run(ctx), context.Canceled)
+	assert.DeepEqual(t, got[:3], []string{"a", "listed 1", "read 8"})
+	assert.DeepEqual(t, read, modeler.TopicRead{
+		Topic: modeler.Operators, Next: 8, Current: time.Unix(9, 0), Records: []modeler.Record{record("a", 7)}, Listed: true, Told: true,
+	})
+}
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -31,6 +31,8 @@
 		message.Body = decodeBeat(now, body.Beat)
 	case *Datagram_EndpointNews:
 		message.Body = decodeNews(body.EndpointNews)
+	case *Datagram_OperatorState:
+		message.Body = decodeState(body.OperatorState)
 	case *Datagram_Digest:
 		message.Body = decodeDigest(body.Digest)
 	default:
@@ -78,7 +80,7 @@
 }
 
 func decodeBeat(now time.Time, b *Beat) modeler.Beat {
-	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates()}
+	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), Vouches: b.GetVouches()}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.Known) {
 			beat.Known[i] = modeler.Known{End: k.GetEnd(), Material: k.GetMaterial(), Age: microseconds(k.GetAge())}
@@ -110,6 +112,14 @@
 	return news
 }
 
+func decodeState(s *OperatorState) modeler.OperatorState {
+	state := modeler.OperatorState{Next: s.GetNext(), Age: microseconds(s.GetAge())}
+	for _, r := range s.GetRecords() {
+		state.Records = append(state.Records, modeler.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
+	}
+	return state
+}
+
 func decodeDigest(d *Digest) modeler.Digest {
 	digest := modeler.Digest{Loads: make(map[modeler.EndpointID]modeler.LoadSummary, len(d.GetLoads()))}
 	for _, n := range d.GetAlive() {
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -29,6 +29,8 @@
 		d.Body = &Datagram_Beat{Beat: encodeBeat(now, body)}
 	case modeler.EndpointNews:
 		d.Body = &Datagram_EndpointNews{EndpointNews: encodeNews(body)}
+	case modeler.OperatorState:
+		d.Body = &Datagram_OperatorState{OperatorState: encodeState(body)}
 	case modeler.Digest:
 		d.Body = &Datagram_Digest{Digest: encodeDigest(body)}
 	}
@@ -69,7 +71,7 @@
 }
 
 func encodeBeat(now time.Time, body modeler.Beat) *Beat {
-	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates}
+	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates, Vouches: body.Vouches}
 	for _, k := range body.Known {
 		beat.Known = append(beat.Known, &Known{End: k.End, Material: k.Material, Age: k.Age.Microseconds()})
 	}
@@ -94,6 +96,14 @@
 	return news
 }
 
+func encodeState(body modeler.OperatorState) *OperatorState {
+	state := &OperatorState{Next: body.Next, Age: body.Age.Microseconds()}
+	for _, r := range body.Records {
+		state.Records = append(state.Records, &Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return state
+}
+
 func encodeDigest(body modeler.Digest) *Digest {
 	digest := &Digest{}
 	for _, n := range body.Alive {
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -48,6 +48,7 @@
 		{"ended", modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Garbled, Fingerprint: 1<<64 - 1}},
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithStarted(now)}, Known: [2]modeler.Known{{End: 4, Material: 3, Age: time.Second}, {End: 9}},
+			Vouches: true,
 		}},
 		{"endpoint news", modeler.EndpointNews{From: 3, Next: 9, Changes: []modeler.EndpointChange{
 			{
@@ -56,6 +57,9 @@
 			},
 			{Endpoint: modeler.Endpoint{ID: "f"}, Offset: 5, Removed: true, Unreadable: true},
 		}}},
+		{"operator state", modeler.OperatorState{
+			Next: 9, Age: time.Second, Records: []modeler.Record{{Key: "k", Value: []byte("v"), Offset: 8}},
+		}},
 		{"digest", modeler.Digest{
 			Alive: []modeler.Node{node()}, Quarantined: []modeler.Fingerprint{9},
 			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -57,6 +57,10 @@
 		Topic   Topic
 		Next    int64
 		Current time.Time
+		// Records are those that were read. It must not be changed.
+		Records []Record
+		// Listed is set if Records are the newest ones of all keys, Told if another node has read them.
+		Listed, Told bool
 	}
 	// TopicFailed says that a call to the store failed.
 	TopicFailed struct {
@@ -151,6 +155,12 @@
 		From  int64
 		Wait  time.Duration
 	}
+	// Deliver hands over the newest records of all keys of a topic as another node has read them. It is answered like a Fetch.
+	Deliver struct {
+		Topic   Topic
+		Page    Page
+		Current time.Time
+	}
 	// Note is a line of the log.
 	Note struct {
 		Name    string
@@ -165,7 +175,8 @@
 	Value any
 }
 
-func (Reply) effect() {}
-func (Send) effect()  {}
-func (Fetch) effect() {}
-func (Note) effect()  {}
+func (Reply) effect()   {}
+func (Send) effect()    {}
+func (Fetch) effect()   {}
+func (Deliver) effect() {}
+func (Note) effect()    {}
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -40,6 +40,15 @@
 		Running     []Assignment
 		// Known says what the sender knows of Operators and Endpoints.
 		Known [2]Known
+		// Vouches is set if the sender has read the store itself and tells all others.
+		Vouches bool
+	}
+	// OperatorState passes on everything that operators have written: the newest record of each key before Next. Age is how long ago the
+	// sender knew that nothing followed.
+	OperatorState struct {
+		Records []Record
+		Next    int64
+		Age     time.Duration
 	}
 	// EndpointNews passes on changes of endpoints: all that is new between two offsets.
 	EndpointNews struct {
@@ -55,14 +64,15 @@
 	}
 )
 
-func (Ask) messageBody()          {}
-func (Queued) messageBody()       {}
-func (Granted) messageBody()      {}
-func (Started) messageBody()      {}
-func (Ended) messageBody()        {}
-func (Beat) messageBody()         {}
-func (EndpointNews) messageBody() {}
-func (Digest) messageBody()       {}
+func (Ask) messageBody()           {}
+func (Queued) messageBody()        {}
+func (Granted) messageBody()       {}
+func (Started) messageBody()       {}
+func (Ended) messageBody()         {}
+func (Beat) messageBody()          {}
+func (EndpointNews) messageBody()  {}
+func (OperatorState) messageBody() {}
+func (Digest) messageBody()        {}
 
 // Known says how far and how recently a node knows a topic.
 type Known struct {
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -49,6 +49,10 @@
 	FailedAt [3]time.Time
 	// Known is what this node can tell others of Operators and Endpoints.
 	Known [2]Known
+	// Elects is set if this node is one of those of lowest rank, which greet all others.
+	Elects bool
+	// Vouches is set while this node reads the store for all.
+	Vouches bool
 }
 
 // NewWorld returns empty tables.
--- /dev/null
+++ b/internal/fleet/poller/operators_test.go
@@ -0,0 +1,154 @@
+package poller_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// states returns the operators' states that are sent, and to whom.
+func states(effects []modeler.Effect) (sent []modeler.OperatorState, to []modeler.NodeID) {
+	for _, effect := range effects {
+		send, ok := effect.(modeler.Send)
+		if !ok {
+			continue
+		}
+		if state, ok := send.Message.Body.(modeler.OperatorState); ok {
+			sent, to = append(sent, state), append(to, send.To.ID)
+		}
+	}
+	return sent, to
+}
+
+func configuration(offset int64, size int) modeler.Record {
+	return modeler.Record{Key: "configuration", Value: make([]byte, size), Offset: offset}
+}
+
+// TestOperatorState guards against nodes that the store turns away and that therefore never learn a new configuration.
+func TestOperatorState(t *testing.T) {
+	newer := configuration(5, 10)
+	tests := []struct {
+		name   string
+		reads  []modeler.TopicRead
+		known  int64
+		wanted []modeler.Record
+	}{
+		{"one record", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{newer}}}, 5, []modeler.Record{newer}},
+		{"the node knows it", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{newer}}}, 6, nil},
+		{
+			"newest of each key",
+			[]modeler.TopicRead{{Next: 7, Records: []modeler.Record{newer, {Key: "zone", Value: []byte("v"), Offset: 6}}}, {Next: 8, Records: []modeler.Record{configuration(7, 20)}}},
+			6, []modeler.Record{{Key: "zone", Value: []byte("v"), Offset: 6}, configuration(7, 20)},
+		},
+		{
+			"dropped key", []modeler.TopicRead{{Next: 7, Records: []modeler.Record{newer, {Key: "zone", Value: []byte("v"), Offset: 6}}}, {Next: 8, Records: []modeler.Record{{Key: "zone", Offset: 7}}}},
+			6, []modeler.Record{newer},
+		},
+		{
+			"listed anew", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{newer}}, {Next: 9, Records: []modeler.Record{configuration(8, 20)}, Listed: true}},
+			6, []modeler.Record{configuration(8, 20)},
+		},
+		{"too large for a datagram", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{configuration(5, 60<<10)}}}, 5, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", "n")
+			for _, read := range tt.reads {
+				read.Topic, read.Current = modeler.Operators, start
+				n.run(read)
+			}
+			known := modeler.Known{End: tt.known, Material: tt.known}
+			sent, to := states(n.run(beat(known, modeler.Known{End: 5, Material: 5})))
+			if tt.wanted == nil {
+				assert.Equal(t, len(sent), 0)
+				return
+			}
+			assert.DeepEqual(t, to, []modeler.NodeID{"other"})
+			assert.DeepEqual(t, sent[0].Records, tt.wanted)
+			assert.Equal(t, sent[0].Next, tt.reads[len(tt.reads)-1].Next)
+		})
+	}
+}
+
+// TestDeliver guards against an older state that replaces what this node has read itself.
+func TestDeliver(t *testing.T) {
+	tests := []struct {
+		name string
+		next int64
+		want int
+	}{
+		{"newer", 6, 1}, {"the same", 5, 0}, {"older", 4, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", "other")
+			state := modeler.OperatorState{Records: []modeler.Record{configuration(tt.next-1, 10)}, Next: tt.next, Age: 100 * time.Millisecond}
+			delivered := 0
+			for _, effect := range n.run(modeler.PeerReceived{Message: modeler.Message{From: "other", Body: state}}) {
+				if deliver, ok := effect.(modeler.Deliver); ok {
+					delivered++
+					assert.Equal(t, deliver.Current, start.Add(-100*time.Millisecond))
+				}
+			}
+			assert.Equal(t, delivered, tt.want)
+		})
+	}
+}
+
+// TestVouch guards against a store that all nodes read, because it turns the coordinator away, and against two nodes that go on to read it for
+// all.
+func TestVouch(t *testing.T) {
+	vouching := func(from modeler.NodeID, rank int64) modeler.Event {
+		body := modeler.Beat{Node: modeler.Node{ID: from, Rank: rank}, Vouches: true}
+		return modeler.PeerReceived{Message: modeler.Message{From: from, Body: body}}
+	}
+	tests := []struct {
+		name   string
+		self   modeler.NodeID
+		elects bool
+		event  modeler.Event
+		want   bool
+	}{
+		{"coordinates", "other", true, nil, true},
+		{"elects, and nobody reads", "n", true, nil, true},
+		{"does not elect", "n", false, nil, false},
+		{"the coordinator reads", "n", true, vouching("other", 1), false},
+		{"one of lower rank reads", "n", true, vouching("third", 2), false},
+		{"one of higher rank reads", "n", true, vouching("fourth", 9), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode(tt.self, "other")
+			n.world.Self = n.world.Self.WithRank(5)
+			n.world.Elects = tt.elects
+			n.now = n.now.Add(2 * time.Second)
+			var events []modeler.Event
+			if tt.event != nil {
+				events = append(events, tt.event)
+			}
+			n.run(append(events, modeler.TopicRead{Topic: modeler.Operators, Next: 5, Current: n.now})...)
+			assert.Equal(t, n.world.Vouches, tt.want)
+			n.now = n.now.Add(time.Second)
+			n.run()
+			assert.Assert(t, !n.world.Vouches, "its last read is too old")
+		})
+	}
+}
+
+// TestOtherBackoff guards against calls to a store that is away which grow with the number of nodes.
+func TestOtherBackoff(t *testing.T) {
+	n := newNode("n", "other")
+	n.now = n.now.Add(2 * time.Second)
+	asked := 0
+	for range 200 {
+		n.now = n.now.Add(50 * time.Millisecond)
+		for _, topic := range fetches(n.run()) {
+			asked++
+			n.run(modeler.TopicFailed{Topic: topic})
+		}
+	}
+	assert.Assert(t, asked >= 10 && asked <= 20, "%d calls in 10 s", asked)
+}
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -1,5 +1,6 @@
-// Package poller decides when this node reads the store. Calls to the store are priced and limited over all nodes, so that one node, the
-// coordinator, reads all the time and tells the others; they read when they hear of something new, or nothing at all.
+// Package poller decides when this node reads the store. Calls to the store are priced and limited over all nodes, so that one node reads
+// all the time and tells the others: the coordinator, or while the store turns it away, the node of lowest rank that is served. The others
+// read when they hear nothing, or when what they were told is not enough.
 package poller
 
 import (
@@ -15,8 +16,12 @@
 	// maxAge is the age of what a node knows at which it reads for itself. With one beat and one read it stays below the two seconds in
 	// which operators' changes and leaving endpoints must be known.
 	maxAge = 1200 * time.Millisecond
-	// vouchAge is the age at which the coordinator's word still counts.
+	// readerGrace is how much longer nodes that do not elect wait for the word of those that do: a read and a datagram.
+	readerGrace = 200 * time.Millisecond
+	// vouchAge is the age at which another node's word still counts.
 	vouchAge = time.Second
+	// newsGrace is how long a node that is behind waits for the records from the node that vouches, which sends them after each beat.
+	newsGrace = 300 * time.Millisecond
 	// endpointInterval is the shortest time between two reads of the endpoints' entries, which engines write often.
 	endpointInterval = 300 * time.Millisecond
 	// operatorInterval is the same for what operators write.
@@ -24,6 +29,8 @@
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// maxOtherBackoff is the longest pause of nodes that do not elect. Those that elect notice the return of the store and tell them.
+	maxOtherBackoff = 2 * time.Second
 	// fetchTimeout is when a read that did not report back counts as lost.
 	fetchTimeout = 6 * time.Second
 )
@@ -38,8 +45,9 @@
 	// next is the earliest time of the next read.
 	next    time.Time
 	backoff time.Duration
-	// target is the offset that another node has read up to.
+	// target is the offset that another node has read up to, and behind when this node learnt that it has not.
 	target int64
+	behind time.Time
 	// confirmed is when what this node knows was last known to be current.
 	confirmed time.Time
 	listed    bool
@@ -53,19 +61,23 @@
 	sent    int64
 	// material is the end of the last record of an endpoint that changed something.
 	material int64
+
+	operators operators
+	// ownRead is when this node last read for itself what operators wrote, and vouchedAt when a node that comes before it last vouched.
+	ownRead, vouchedAt time.Time
 }
 
 // New returns the system.
-func New() *System { return &System{} }
+func New() *System { return &System{operators: newOperators()} }
 
 // Run implements modeler.System. It runs after the applier.
 func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
 	for _, event := range tick.Events {
 		switch e := event.(type) {
 		case modeler.TopicRead:
-			s.read(e)
+			s.read(world, e)
 		case modeler.TopicFailed:
-			s.failed(tick.Now, e)
+			s.failed(tick.Now, world, e)
 		case modeler.TopicListed:
 			if e.Topic == modeler.Endpoints {
 				// Keys that were dropped are not among the newest records, so that any record before may have changed something.
@@ -81,6 +93,7 @@
 			s.receive(tick, world, e.Message)
 		}
 	}
+	s.vouch(tick.Now, world)
 	s.tell(tick, world)
 	for i, topic := range topics {
 		s.fetch(tick, world, topic, &s.readings[i])
@@ -88,24 +101,40 @@
 	s.publish(tick.Now, world)
 }
 
-func (s *System) read(e modeler.TopicRead) {
+func (s *System) read(world *modeler.World, e modeler.TopicRead) {
 	if int(e.Topic) >= len(s.readings) {
 		return
 	}
 	r := &s.readings[e.Topic]
-	r.asked, r.backoff, r.listed = time.Time{}, 0, true
+	r.listed = true
+	if !e.Told {
+		r.asked, r.backoff = time.Time{}, 0
+	}
+	if e.Topic == modeler.Operators {
+		s.operators.keep(e)
+		if !e.Told && e.Current.After(s.ownRead) {
+			s.ownRead = e.Current
+		}
+	}
+	if r.target <= world.Ends[e.Topic] {
+		r.behind = time.Time{}
+	}
 	if e.Current.After(r.confirmed) {
 		r.confirmed = e.Current
 	}
 }
 
-func (s *System) failed(now time.Time, e modeler.TopicFailed) {
+func (s *System) failed(now time.Time, world *modeler.World, e modeler.TopicFailed) {
 	if int(e.Topic) >= len(s.readings) {
 		return
 	}
 	r := &s.readings[e.Topic]
 	r.asked = time.Time{}
-	r.backoff = min(max(2*r.backoff, minBackoff), maxBackoff)
+	longest := maxOtherBackoff
+	if world.Elects || !r.listed || world.Coordinator == "" || world.Coordinates() {
+		longest = maxBackoff
+	}
+	r.backoff = min(max(2*r.backoff, minBackoff), longest)
 	r.next = now.Add(r.backoff)
 }
 
@@ -125,18 +154,35 @@
 	return known.ChangedAt == change.Offset || change.ColdFor > 0
 }
 
-// tell sends changes of endpoints to all nodes.
+// vouch settles whether this node reads the store for all: as the coordinator, or in its place while no node that comes before does.
+func (s *System) vouch(now time.Time, world *modeler.World) {
+	world.Vouches = (world.Coordinates() || world.Elects && now.Sub(s.vouchedAt) > vouchAge) && now.Sub(s.ownRead) < vouchAge
+}
+
+// tell sends what is new to all nodes.
 func (s *System) tell(tick *modeler.Tick, world *modeler.World) {
 	end := world.Ends[modeler.Endpoints]
-	if len(s.changes) > 0 && world.Coordinates() && s.sent > 0 {
-		message := world.Message(modeler.EndpointNews{From: s.sent, Next: end, Changes: s.changes})
-		for _, node := range world.Nodes.All() {
-			if elector.Live(node, tick.Now) {
-				tick.Emit(modeler.Send{To: node, Message: message})
-			}
-		}
+	if len(s.changes) > 0 && s.sent > 0 {
+		s.tellAll(tick, world, modeler.EndpointNews{From: s.sent, Next: end, Changes: s.changes})
 	}
 	s.changes, s.sent = nil, end
+	if state, ok := s.operators.news(); ok {
+		state.Age = tick.Now.Sub(s.readings[modeler.Operators].confirmed)
+		s.tellAll(tick, world, state)
+	}
+}
+
+// tellAll sends a message to all live nodes if this node reads for them.
+func (s *System) tellAll(tick *modeler.Tick, world *modeler.World, body modeler.MessageBody) {
+	if !world.Vouches && !world.Coordinates() {
+		return
+	}
+	message := world.Message(body)
+	for _, node := range world.Nodes.All() {
+		if elector.Live(node, tick.Now) {
+			tick.Emit(modeler.Send{To: node, Message: message})
+		}
+	}
 }
 
 // receive takes over what another node has read.
@@ -147,11 +193,21 @@
 			world.Ends[modeler.Endpoints] = max(world.Ends[modeler.Endpoints], body.Next)
 		}
 		s.material = max(s.material, body.Next)
+	case modeler.OperatorState:
+		if body.Next > world.Ends[modeler.Operators] {
+			tick.Emit(modeler.Deliver{
+				Topic: modeler.Operators, Page: modeler.Page{Records: body.Records, Next: body.Next}, Current: tick.Now.Add(-body.Age),
+			})
+		}
 	case modeler.Beat:
+		s.heard(tick, world, message.From, body)
 		for i, topic := range topics {
 			known := body.Known[i]
 			r := &s.readings[i]
 			r.target = max(r.target, known.Material)
+			if r.behind.IsZero() && r.target > world.Ends[topic] {
+				r.behind = tick.Now
+			}
 			if !r.listed || known.Age > vouchAge || world.Ends[topic] < known.Material {
 				continue
 			}
@@ -166,16 +222,45 @@
 	}
 }
 
+// heard notes who else vouches, and sends the operators' records to a node that lacks some.
+func (s *System) heard(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, beat modeler.Beat) {
+	if beat.Vouches && (from == world.Coordinator || beat.Node.Rank < world.Self.Rank) {
+		s.vouchedAt = tick.Now
+	}
+	peer, ok := world.Nodes.Get(from)
+	if !ok || !world.Vouches && !world.Coordinates() || beat.Known[modeler.Operators].End >= s.operators.next {
+		return
+	}
+	if state, ok := s.operators.state(); ok {
+		state.Age = tick.Now.Sub(s.readings[modeler.Operators].confirmed)
+		tick.Emit(modeler.Send{To: peer, Message: world.Message(state)})
+	}
+}
+
+// longestAge is the age of what this node knows at which it reads for itself.
+func longestAge(world *modeler.World) time.Duration {
+	if world.Elects {
+		return maxAge
+	}
+	return maxAge + readerGrace
+}
+
 // fetch begins a read if one is due.
 func (s *System) fetch(tick *modeler.Tick, world *modeler.World, topic modeler.Topic, r *reading) {
 	if !r.asked.IsZero() && tick.Now.Sub(r.asked) < fetchTimeout {
 		return
 	}
 	behind := r.target > world.Ends[topic]
-	old := tick.Now.Sub(r.confirmed) >= maxAge
-	alone := world.Coordinates() || world.Coordinator == ""
+	if behind && topic == modeler.Operators && world.Coordinator != "" && !world.Coordinates() {
+		if due := r.behind.Add(newsGrace); tick.Now.Before(due) {
+			behind = false
+			tick.WakeAt(due)
+		}
+	}
+	old := tick.Now.Sub(r.confirmed) >= longestAge(world)
+	alone := world.Coordinates() || world.Coordinator == "" || world.Vouches
 	if !behind && !old && !alone {
-		tick.WakeAt(r.confirmed.Add(maxAge))
+		tick.WakeAt(r.confirmed.Add(longestAge(world)))
 		return
 	}
 	if tick.Now.Before(r.next) {
@@ -187,7 +272,7 @@
 		interval = endpointInterval
 	}
 	wait := pollWait
-	if behind {
+	if behind || !alone {
 		wait = 0
 	}
 	r.asked, r.next = tick.Now, tick.Now.Add(interval)
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -60,35 +60,47 @@
 
 // TestFetch guards against nodes that read the store without need, and against a node that goes on with what nobody has confirmed.
 func TestFetch(t *testing.T) {
-	current := modeler.Known{End: 5, Material: 5}
+	current, old := modeler.Known{End: 5, Material: 5}, modeler.Known{End: 5, Material: 5, Age: 1100 * time.Millisecond}
+	both := []modeler.Topic{modeler.Operators, modeler.Endpoints}
 	tests := []struct {
 		name        string
 		coordinator modeler.NodeID
+		elects      bool
 		after       time.Duration
 		event       modeler.Event
-		want        []modeler.Topic
+		// later is the time from the event to the tick that is looked at.
+		later time.Duration
+		want  []modeler.Topic
 	}{
-		{"confirmed just now", "other", time.Second, beat(current, current), nil},
-		{"nobody confirms", "other", 1200 * time.Millisecond, nil, []modeler.Topic{modeler.Operators, modeler.Endpoints}},
+		{"confirmed just now", "other", true, time.Second, beat(current, current), 0, nil},
+		{"nobody confirms", "other", true, 1200 * time.Millisecond, nil, 0, both},
+		{"nobody confirms, others read first", "other", false, 1300 * time.Millisecond, nil, 0, nil},
+		{"nobody confirms, nor do the others", "other", false, 1400 * time.Millisecond, nil, 0, both},
+		{"confirmed by old news", "other", true, 1200 * time.Millisecond, beat(old, old), 0, both},
+		{"behind in what operators wrote", "other", false, time.Second, beat(modeler.Known{End: 6, Material: 6}, current), 0, nil},
 		{
-			"confirmed by old news", "other", 1200 * time.Millisecond,
-			beat(modeler.Known{End: 5, Material: 5, Age: 1100 * time.Millisecond}, modeler.Known{End: 5, Material: 5, Age: 1100 * time.Millisecond}),
-			[]modeler.Topic{modeler.Operators, modeler.Endpoints},
+			"still behind in what operators wrote", "other", false, time.Second, beat(modeler.Known{End: 6, Material: 6}, current),
+			300 * time.Millisecond, []modeler.Topic{modeler.Operators},
 		},
-		{"behind in what operators wrote", "other", time.Second, beat(modeler.Known{End: 6, Material: 6}, current), []modeler.Topic{modeler.Operators}},
-		{"behind in endpoints", "other", time.Second, beat(current, modeler.Known{End: 9, Material: 7}), []modeler.Topic{modeler.Endpoints}},
-		{"records that change nothing", "other", time.Second, beat(current, modeler.Known{End: 9, Material: 5}), nil},
-		{"coordinates", "n", time.Second, nil, []modeler.Topic{modeler.Operators, modeler.Endpoints}},
+		{"behind in endpoints", "other", true, time.Second, beat(current, modeler.Known{End: 9, Material: 7}), 0, []modeler.Topic{modeler.Endpoints}},
+		{"records that change nothing", "other", true, time.Second, beat(current, modeler.Known{End: 9, Material: 5}), 0, nil},
+		{"coordinates", "n", true, time.Second, nil, 0, both},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			n := newNode("n", tt.coordinator)
+			n.world.Elects = tt.elects
 			n.now = start.Add(tt.after)
 			var events []modeler.Event
 			if tt.event != nil {
 				events = append(events, tt.event)
 			}
-			assert.DeepEqual(t, fetches(n.run(events...)), tt.want)
+			effects := n.run(events...)
+			if tt.later > 0 {
+				n.now = n.now.Add(tt.later)
+				effects = n.run()
+			}
+			assert.DeepEqual(t, fetches(effects), tt.want)
 		})
 	}
 }
