Measure calls to the store and states of endpoints, and notice the store's return through other nodes

A node whose read of the store had failed kept endpoints that are gone for good once another node told it what stands there, because only its own read ended the failure.

Change: ages count from what was confirmed, whoever has read it. The applier takes another node's word for the return of the store; its test failed first. A decorator counts and times the calls. World.State judges endpoints for the placer and the metrics alike.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -51,6 +51,9 @@
 			s.failed(tick, world, e)
 		}
 	}
+	if s.failing && world.ConfirmedAt[modeler.Endpoints].After(world.FailedAt[modeler.Endpoints]) {
+		s.regained(tick, world)
+	}
 	s.expireMissing(tick, world)
 }
 
@@ -192,15 +195,17 @@
 
 func (s *System) read(tick *modeler.Tick, world *modeler.World, e modeler.TopicRead) {
 	if e.Topic == modeler.Endpoints && s.failing {
-		s.failing, s.recoveredAt = false, tick.Now
-		tick.Emit(modeler.Note{Name: "StoreRegained", Fields: []modeler.Field{
-			{Key: "Topic", Value: e.Topic.String()}, {Key: "SinceFailure", Value: tick.Now.Sub(world.FailedAt[e.Topic])},
-		}})
+		s.regained(tick, world)
 	}
 	world.Ends[e.Topic] = max(world.Ends[e.Topic], e.Next)
-	if e.Current.After(world.ReadAt[e.Topic]) {
-		world.ReadAt[e.Topic] = e.Current
-	}
+}
+
+// regained notes the return of the store, as this node or another one sees it.
+func (s *System) regained(tick *modeler.Tick, world *modeler.World) {
+	s.failing, s.recoveredAt = false, tick.Now
+	tick.Emit(modeler.Note{Name: "StoreRegained", Fields: []modeler.Field{
+		{Key: "Topic", Value: modeler.Endpoints.String()}, {Key: "SinceFailure", Value: tick.Now.Sub(world.FailedAt[modeler.Endpoints])},
+	}})
 }
 
 func (s *System) failed(tick *modeler.Tick, world *modeler.World, e modeler.TopicFailed) {
--- a/internal/fleet/applier/applier_test.go
+++ b/internal/fleet/applier/applier_test.go
@@ -131,6 +131,37 @@
 	}
 }
 
+// TestStoreRegainedByOthers guards against an endpoint that is gone and kept for good, because this node has no need to read the store itself
+// once another one tells it what stands there.
+func TestStoreRegainedByOthers(t *testing.T) {
+	tests := []struct {
+		name string
+		// confirmed is when another node last read the store.
+		confirmed time.Duration
+		want      bool
+	}{
+		{"before the failure", 900 * time.Millisecond, true},
+		{"after the failure", 3 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			system := applier.New()
+			apply := func(at time.Duration, events ...modeler.Event) {
+				system.Run(&modeler.Tick{Now: start.Add(at), Events: events}, world)
+			}
+			apply(0, changed(1))
+			apply(time.Second, modeler.TopicFailed{Topic: modeler.Endpoints, Reason: "timeout"})
+			apply(2*time.Second, modeler.EndpointRemoved{ID: "e", Offset: 2})
+			world.ConfirmedAt[modeler.Endpoints] = start.Add(tt.confirmed)
+			apply(3 * time.Second)
+			apply(5300 * time.Millisecond)
+			_, known := world.Endpoints.Get("e")
+			assert.Equal(t, known, tt.want)
+		})
+	}
+}
+
 // TestRestartForgets guards against what was measured of an earlier start of an endpoint being held against the new one.
 func TestRestartForgets(t *testing.T) {
 	world := modeler.NewWorld(modeler.Node{ID: "n"})
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -59,6 +59,7 @@
 	settings loader.Settings
 	loop     *runner.Loop
 	observer *observer.Observer
+	budget   *limiter.Budget
 	// active counts the requests that are being served.
 	active atomic.Int64
 }
@@ -102,11 +103,16 @@
 		ID: modeler.NodeID(settings.Node.Name), Incarnation: rand.Uint64() >> 1, Rank: modeler.UnregisteredRank, PeerAddress: peerAddress,
 		CallerAddress: settings.Listen.Callers, DataCentre: modeler.DataCentreID(settings.Node.DataCentre), Region: settings.Node.Region,
 	}
+	bounds := settings.Bounds
+	n.budget = limiter.NewBudget(limiter.Options{
+		Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack, Window: loader.Seconds(bounds.BudgetWindowSeconds),
+	}, time.Now)
 	n.observer = observer.New(observer.Options{
 		Events: events, Requests: requests, Snapshot: func() *modeler.Snapshot { return n.loop.Snapshot() },
-		Dialed: pool.Dialed, PeerFailures: peers.Failed,
+		Dialed: pool.Dialed, PeerFailures: peers.Failed, Repeats: n.budget.Repeats,
 	})
-	followers := n.followers(store)
+	measured := n.observer.Store(store)
+	followers := n.followers(measured)
 	n.loop = runner.New(modeler.NewWorld(self), runner.Options{
 		Systems: systems(settings), Executor: &executor{peers: peers, observer: n.observer, followers: followers}, Now: time.Now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -130,7 +136,7 @@
 	for _, f := range followers {
 		group.Go(func() error { return f.Run(running) })
 	}
-	registrar := follower.Registrar{Store: store, Topic: platform.TopicNodes, Self: self, Post: n.loop.Post}
+	registrar := follower.Registrar{Store: measured, Topic: platform.TopicNodes, Self: self, Post: n.loop.Post}
 	group.Go(func() error { return registrar.Run(running) })
 	for _, s := range servers {
 		group.Go(s.serve)
@@ -167,7 +173,7 @@
 	}
 }
 
-func (n *Node) followers(store *platform.Store) map[modeler.Topic]*follower.Follower {
+func (n *Node) followers(store follower.Store) map[modeler.Topic]*follower.Follower {
 	sources := []follower.Source{
 		{
 			Topic: modeler.Operators, Name: platform.TopicOperators, Decode: platform.OperatorRecord, Key: platform.OutDataCentre,
@@ -258,13 +264,10 @@
 
 // handlers returns the handler of each address. Interfaces that share an address share a handler.
 func (n *Node) handlers(self modeler.Node, pool *dialer.Pool, orders *platform.Orders) map[string]*paths {
-	bounds := n.settings.Bounds
 	traffic := platform.Traffic{}
 	forward := &forwarder.Forwarder{
 		Control: n.loop, Protocol: traffic, Pool: pool, Memory: orders, Self: self, OnRetry: n.observer.Retried,
-		Budget: limiter.NewBudget(limiter.Options{
-			Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack, Window: loader.Seconds(bounds.BudgetWindowSeconds),
-		}, time.Now),
+		Budget: n.budget,
 	}
 	callers := &listener.Callers{Decoder: traffic, Forwarder: forward, Snapshot: n.loop.Snapshot, Observer: n.observer}
 	addresses := listener.Addresses{
--- a/internal/fleet/limiter/budget.go
+++ b/internal/fleet/limiter/budget.go
@@ -59,6 +59,17 @@
 	b.rows[service] = r
 }
 
+// Repeats returns the number of repeats in the window, of all services.
+func (b *Budget) Repeats() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	oldest, repeats := b.now().Add(-b.options.Window), 0
+	for _, r := range b.rows {
+		repeats += len(r.after(oldest).repeats)
+	}
+	return repeats
+}
+
 // Spend takes one repeat and tells whether it is allowed. nodes is the number of nodes that may exist.
 func (b *Budget) Spend(service modeler.ServiceID, nodes int) bool {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/fleet/modeler/snapshot_test.go
@@ -0,0 +1,46 @@
+package modeler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// TestState guards against an endpoint that gets work though something speaks against it, and against a reason that hides a graver one.
+func TestState(t *testing.T) {
+	now := time.Unix(1000, 0)
+	endpoint := modeler.Endpoint{ID: "e", DataCentre: "dc"}
+	cold := endpoint
+	cold.ColdUntil = now.Add(time.Second)
+	tests := []struct {
+		name     string
+		endpoint modeler.Endpoint
+		health   modeler.Health
+		out      bool
+		want     modeler.EndpointState
+	}{
+		{"nothing", endpoint, modeler.Health{}, false, modeler.StateInService},
+		{"cold", cold, modeler.Health{}, false, modeler.StateCold},
+		{"missing", cold.WithMissing(now), modeler.Health{}, false, modeler.StateMissing},
+		{"avoided", endpoint.WithMissing(now), modeler.Health{}.WithSilence(now), false, modeler.StateAvoided},
+		{"avoided before", endpoint, modeler.Health{}.WithSilence(now.Add(-time.Hour)), false, modeler.StateInService},
+		{"misdirected", endpoint, modeler.Health{}.WithSilence(now).WithMisdirected(), false, modeler.StateMisdirected},
+		{"draining", endpoint.WithDraining(), modeler.Health{}.WithMisdirected(), false, modeler.StateDraining},
+		{"out", endpoint.WithDraining(), modeler.Health{}, true, modeler.StateOut},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			world.Endpoints.Put("e", tt.endpoint)
+			world.Health.Put("e", tt.health)
+			if tt.out {
+				world.Out.Put("dc", 1)
+			}
+			assert.Equal(t, world.State(tt.endpoint, now), tt.want)
+			assert.Equal(t, modeler.NewSnapshot(world, nil, now).Endpoints[tt.want], 1)
+		})
+	}
+}
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -43,10 +43,11 @@
 	Busy    *tabler.Table[EndpointID, time.Time]
 	Strikes *tabler.Table[Fingerprint, Strikes]
 
-	// Ends and ReadAt say up to where and when each topic was last read; FailedAt is when a call last failed.
+	// Ends says up to where each topic is known, and FailedAt when a call last failed.
 	Ends     [3]int64
-	ReadAt   [3]time.Time
 	FailedAt [3]time.Time
+	// ConfirmedAt is when what this node knows of Operators and Endpoints was last current, whoever has read it.
+	ConfirmedAt [2]time.Time
 	// Known is what this node can tell others of Operators and Endpoints.
 	Known [2]Known
 	// Elects is set if this node is one of those of lowest rank, which greet all others.
@@ -169,17 +170,3 @@
 type System interface {
 	Run(tick *Tick, world *World)
 }
-
-// Snapshot is the published view of the control state. It is never changed.
-type Snapshot struct {
-	Self          Node
-	Coordinator   NodeID
-	Configuration Configuration
-	// Alive are the nodes that callers may use, this one included unless it is leaving.
-	Alive []Node
-	// Endpoints is the number of endpoints that have an entry.
-	Endpoints int
-	// OperatorsAge and EndpointsAge are the ages of what the store said when the snapshot was taken.
-	OperatorsAge, EndpointsAge time.Duration
-	Waiting                    int
-}
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -21,6 +21,8 @@
 	Snapshot func() *modeler.Snapshot
 	// Dialed returns the number of connections opened to endpoints, PeerFailures that of messages that were not sent or read.
 	Dialed, PeerFailures func() int64
+	// Repeats returns the number of repeats in the window of the budget.
+	Repeats func() int
 }
 
 // Observer is safe for concurrent use.
@@ -36,7 +38,9 @@
 	o.set.NewGauge("damaskpick_configuration_version", func() float64 { return float64(snapshot().Configuration.Version) })
 	o.set.NewGauge("damaskpick_operators_age_seconds", func() float64 { return snapshot().OperatorsAge.Seconds() })
 	o.set.NewGauge("damaskpick_endpoints_age_seconds", func() float64 { return snapshot().EndpointsAge.Seconds() })
-	o.set.NewGauge("damaskpick_endpoints", func() float64 { return float64(snapshot().Endpoints) })
+	for _, state := range modeler.EndpointStates {
+		o.set.NewGauge(`damaskpick_endpoints{state="`+string(state)+`"}`, func() float64 { return float64(snapshot().Endpoints[state]) })
+	}
 	o.set.NewGauge("damaskpick_nodes_alive", func() float64 { return float64(len(snapshot().Alive)) })
 	o.set.NewGauge("damaskpick_coordinates", func() float64 {
 		if s := snapshot(); s.Coordinator == s.Self.ID {
@@ -44,6 +48,13 @@
 		}
 		return 0
 	})
+	o.set.NewGauge("damaskpick_vouches", func() float64 {
+		if snapshot().Vouches {
+			return 1
+		}
+		return 0
+	})
+	o.set.NewGauge("damaskpick_repeats", func() float64 { return float64(options.Repeats()) })
 	o.set.NewGauge("damaskpick_waiting", func() float64 { return float64(snapshot().Waiting) })
 	o.set.NewGauge("damaskpick_endpoint_connections_opened_total", func() float64 { return float64(options.Dialed()) })
 	o.set.NewGauge("damaskpick_peer_failures_total", func() float64 { return float64(options.PeerFailures()) })
@@ -103,6 +114,9 @@
 	kind := call.Route.Kind.String()
 	o.set.GetOrCreateCounter(`damaskpick_requests_total{kind="` + kind + `",status="` + r.Status.String() + `"}`).Inc()
 	late := r.First > call.Route.Target
+	if late {
+		o.set.GetOrCreateCounter(`damaskpick_late_total{kind="` + kind + `"}`).Inc()
+	}
 	if r.First > 0 {
 		o.set.GetOrCreateHistogram(`damaskpick_first_seconds{kind="` + kind + `"}`).Update(r.First.Seconds())
 	}
--- /dev/null
+++ b/internal/fleet/observer/observer_test.go
@@ -0,0 +1,82 @@
+package observer_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/fleet/observer"
+)
+
+// store fails calls that wait.
+type store struct{}
+
+func (store) Read(_ context.Context, _ string, _ int64, wait time.Duration) (modeler.Page, error) {
+	if wait > 0 {
+		return modeler.Page{}, errors.New("busy")
+	}
+	return modeler.Page{Next: 3}, nil
+}
+
+func (store) Newest(context.Context, string) (modeler.Page, error) { return modeler.Page{Next: 4}, nil }
+
+func (store) Append(context.Context, string, string, []byte) (int64, error) { return 5, nil }
+
+func page(o *observer.Observer) string {
+	recorder := httptest.NewRecorder()
+	o.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return recorder.Body.String()
+}
+
+func newObserver(snapshot *modeler.Snapshot) *observer.Observer {
+	none := func() int64 { return 0 }
+	return observer.New(observer.Options{
+		Events: zerolog.Nop(), Requests: zerolog.Nop(), Snapshot: func() *modeler.Snapshot { return snapshot }, Dialed: none, PeerFailures: none,
+		Repeats: func() int { return 7 },
+	})
+}
+
+// TestStore guards against calls to the store that are not counted, or whose results are changed by the counting.
+func TestStore(t *testing.T) {
+	o := newObserver(&modeler.Snapshot{})
+	s := o.Store(store{})
+	read, err := s.Read(t.Context(), "t", 0, 0)
+	assert.NilError(t, err)
+	newest, err := s.Newest(t.Context(), "t")
+	assert.NilError(t, err)
+	offset, err := s.Append(t.Context(), "t", "k", nil)
+	assert.NilError(t, err)
+	_, err = s.Read(t.Context(), "t", 0, time.Second)
+	assert.Error(t, err, "busy")
+	assert.DeepEqual(t, []int64{read.Next, newest.Next, offset}, []int64{3, 4, 5})
+	tests := []string{
+		`damaskpick_store_calls_total{call="Read",outcome="Ok"} 1`, `damaskpick_store_calls_total{call="Read",outcome="Failed"} 1`,
+		`damaskpick_store_calls_total{call="Newest",outcome="Ok"} 1`, `damaskpick_store_calls_total{call="Append",outcome="Ok"} 1`,
+	}
+	for _, want := range tests {
+		assert.Assert(t, strings.Contains(page(o), want+"\n"), want)
+	}
+}
+
+// TestGauges guards against a figure of the control state that the metrics do not show.
+func TestGauges(t *testing.T) {
+	o := newObserver(&modeler.Snapshot{
+		Self: modeler.Node{ID: "n"}, Coordinator: "n", Vouches: true, Waiting: 2, OperatorsAge: 1500 * time.Millisecond,
+		Endpoints: map[modeler.EndpointState]int{modeler.StateAvoided: 3},
+	})
+	tests := []string{
+		`damaskpick_endpoints{state="Avoided"} 3`, `damaskpick_endpoints{state="InService"} 0`, "damaskpick_coordinates 1", "damaskpick_vouches 1",
+		"damaskpick_waiting 2", "damaskpick_operators_age_seconds 1.5", "damaskpick_repeats 7",
+	}
+	for _, want := range tests {
+		assert.Assert(t, strings.Contains(page(o), want+"\n"), want)
+	}
+}
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -131,22 +131,20 @@
 }
 
 // inService tells whether an endpoint may get new work.
-func (s *System) inService(world *modeler.World, endpoint modeler.Endpoint) bool {
-	if endpoint.Draining {
-		return false
-	}
-	if _, out := world.Out.Get(endpoint.DataCentre); out {
+func (s *System) inService(now time.Time, world *modeler.World, endpoint modeler.Endpoint) bool {
+	switch world.State(endpoint, now) {
+	case modeler.StateOut, modeler.StateDraining, modeler.StateMisdirected:
 		return false
+	default:
+		return true
 	}
-	health, _ := world.Health.Get(endpoint.ID)
-	return !health.Misdirected
 }
 
 // candidates returns the endpoints that may get the request. Those that fell silent are tried again only when no other is left.
 func (s *System) candidates(now time.Time, world *modeler.World, service modeler.Service, request modeler.Request) []Candidate {
 	var candidates, silent []Candidate
 	for id, endpoint := range world.Endpoints.All() {
-		if endpoint.Service != service.ID || !s.inService(world, endpoint) || contains(request.Tried, id) {
+		if endpoint.Service != service.ID || !s.inService(now, world, endpoint) || contains(request.Tried, id) {
 			continue
 		}
 		if !s.cold.allows(now, endpoint, s.coldLimit(world, service)) {
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -157,7 +157,7 @@
 	world.Forwarded.Delete(body.ID)
 	decision := body.Decision
 	if !decision.Refused {
-		plan, ok := s.resolve(world, decision.Plan)
+		plan, ok := s.resolve(tick.Now, world, decision.Plan)
 		if !ok {
 			// The two nodes have read the store to different points.
 			world.Waiting.Put(body.ID, modeler.Waiting{Request: row.Request, Since: tick.Now})
@@ -170,11 +170,11 @@
 }
 
 // resolve completes the endpoints of a plan that came from another node. It returns false if one is unknown or out of service here.
-func (s *System) resolve(world *modeler.World, plan modeler.Plan) (modeler.Plan, bool) {
+func (s *System) resolve(now time.Time, world *modeler.World, plan modeler.Plan) (modeler.Plan, bool) {
 	engines := plan.Engines()
 	for i, engine := range engines {
 		endpoint, ok := world.Endpoints.Get(engine.ID)
-		if !ok || !s.inService(world, endpoint) {
+		if !ok || !s.inService(now, world, endpoint) {
 			return plan, false
 		}
 		engines[i] = endpoint
@@ -326,7 +326,7 @@
 	if decision.Refused {
 		return modeler.Note{Name: "PlaceRefused", Request: request.ID, Fields: []modeler.Field{
 			{Key: "Reason", Value: string(decision.Reason)}, {Key: "Waited", Value: now.Sub(row.Since)}, {Key: "Prompt", Value: request.Prompt},
-			{Key: "Waiting", Value: world.Waiting.Len()}, {Key: "EndpointsAge", Value: now.Sub(world.ReadAt[modeler.Endpoints])},
+			{Key: "Waiting", Value: world.Waiting.Len()}, {Key: "EndpointsAge", Value: now.Sub(world.ConfirmedAt[modeler.Endpoints])},
 		}}
 	}
 	return modeler.Note{Name: "Placed", Request: request.ID, Fields: []modeler.Field{
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -48,9 +48,7 @@
 	// target is the offset that another node has read up to, and behind when this node learnt that it has not.
 	target int64
 	behind time.Time
-	// confirmed is when what this node knows was last known to be current.
-	confirmed time.Time
-	listed    bool
+	listed bool
 }
 
 // System decides when topics are read and passes on changes of endpoints.
@@ -119,8 +117,13 @@
 	if r.target <= world.Ends[e.Topic] {
 		r.behind = time.Time{}
 	}
-	if e.Current.After(r.confirmed) {
-		r.confirmed = e.Current
+	confirm(world, e.Topic, e.Current)
+}
+
+// confirm notes that what this node knows was current at a time.
+func confirm(world *modeler.World, topic modeler.Topic, at time.Time) {
+	if at.After(world.ConfirmedAt[topic]) {
+		world.ConfirmedAt[topic] = at
 	}
 }
 
@@ -167,7 +170,7 @@
 	}
 	s.changes, s.sent = nil, end
 	if state, ok := s.operators.news(); ok {
-		state.Age = tick.Now.Sub(s.readings[modeler.Operators].confirmed)
+		state.Age = tick.Now.Sub(world.ConfirmedAt[modeler.Operators])
 		s.tellAll(tick, world, state)
 	}
 }
@@ -215,9 +218,7 @@
 			if topic == modeler.Endpoints {
 				s.material = max(s.material, known.Material)
 			}
-			if confirmed := tick.Now.Add(-known.Age); confirmed.After(r.confirmed) {
-				r.confirmed = confirmed
-			}
+			confirm(world, topic, tick.Now.Add(-known.Age))
 		}
 	}
 }
@@ -232,7 +233,7 @@
 		return
 	}
 	if state, ok := s.operators.state(); ok {
-		state.Age = tick.Now.Sub(s.readings[modeler.Operators].confirmed)
+		state.Age = tick.Now.Sub(world.ConfirmedAt[modeler.Operators])
 		tick.Emit(modeler.Send{To: peer, Message: world.Message(state)})
 	}
 }
@@ -257,10 +258,10 @@
 			tick.WakeAt(due)
 		}
 	}
-	old := tick.Now.Sub(r.confirmed) >= longestAge(world)
+	old := tick.Now.Sub(world.ConfirmedAt[topic]) >= longestAge(world)
 	alone := world.Coordinates() || world.Coordinator == "" || world.Vouches
 	if !behind && !old && !alone {
-		tick.WakeAt(r.confirmed.Add(longestAge(world)))
+		tick.WakeAt(world.ConfirmedAt[topic].Add(longestAge(world)))
 		return
 	}
 	if tick.Now.Before(r.next) {
@@ -282,7 +283,7 @@
 // publish tells the other systems what this node can vouch for.
 func (s *System) publish(now time.Time, world *modeler.World) {
 	for i, topic := range topics {
-		known := modeler.Known{End: world.Ends[topic], Material: world.Ends[topic], Age: now.Sub(s.readings[i].confirmed)}
+		known := modeler.Known{End: world.Ends[topic], Material: world.Ends[topic], Age: now.Sub(world.ConfirmedAt[i])}
 		if topic == modeler.Endpoints {
 			known.Material = min(s.material, known.End)
 		}
--- a/internal/fleet/runner/loop.go
+++ b/internal/fleet/runner/loop.go
@@ -154,12 +154,6 @@
 }
 
 func (l *Loop) publish(now time.Time) {
-	w := l.world
-	s := &modeler.Snapshot{
-		Self: w.Self, Coordinator: w.Coordinator, Configuration: w.Configuration, Alive: elector.Alive(w, now), Waiting: w.Waiting.Len(),
-		Endpoints:    w.Endpoints.Len(),
-		OperatorsAge: now.Sub(w.ReadAt[modeler.Operators]), EndpointsAge: now.Sub(w.ReadAt[modeler.Endpoints]),
-	}
 	l.published = now
-	l.snapshot.Store(s)
+	l.snapshot.Store(modeler.NewSnapshot(l.world, elector.Alive(l.world, now), now))
 }
