Keep a stream on a silent engine until there is another place

Cause: an engine that was silent for too long was cut off first, and a place for the rest was asked for afterwards. Under load there was none: the request counted from its arrival, so that it was refused at once, and the stream broke although its engine was only slow.

Ruled out: engines that broke off themselves (Last=Silent, and the first event had come), and callers that left.

Change: the guard asks for a place while the connection stays open and ends it only when the place is given and the budget allows the repeat. It tells the coordinator that the endpoint is silent. The rest of a stream counts from the loss of its engine, and its caller cannot be told to come back, so that it asks again until the caller would have left. Attempts that reached no endpoint are not charged to the budget.

--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,14 +52,16 @@
 	if err != nil {
 		var failed dialer.SendError
 		if errors.As(err, &failed) && failed.Sent {
+			p.arrived++
 			f.mayHaveRun(p)
 			return f.failure(ctx, p, err, modeler.Broken)
 		}
 		return f.failure(ctx, p, err, modeler.Unreachable)
 	}
+	p.arrived++
 	complete := false
 	defer func() { x.Close(complete) }()
-	guard := f.guard(p, x, f.silence(p, plan))
+	guard := f.guard(p, id, x.Abort, f.silence(p, plan))
 	defer guard.stop()
 	response, err := x.Answer(p.call.Method, max(time.Until(p.deadline), time.Millisecond), func(header http.Header) bool {
 		own := f.Protocol.AnswerFields(0, header).RequestID
@@ -177,47 +178,11 @@
 	}
 }
 
-// silenceGuard ends the connection to an endpoint that is silent for too long, if the request may then go on elsewhere. An endpoint's silence
-// alone is no reason to end an answer: it may still come.
-type silenceGuard struct {
-	timer *time.Timer
-	// fired is set once the guard has taken a repeat from the budget and ended the connection.
-	fired atomic.Bool
-}
-
-// guard watches an exchange. A limit of noLimit watches nothing.
-func (f *Forwarder) guard(p *progress, x *dialer.Exchange, limit time.Duration) *silenceGuard {
-	g := &silenceGuard{}
-	call := p.call
-	// The timer is stopped before it can fire; a limit of zero would fire at once.
-	g.timer = time.AfterFunc(time.Hour, func() {
-		if f.spend(call) {
-			g.fired.Store(true)
-			x.Abort()
-		}
-	})
-	g.reset(limit)
-	return g
-}
-
-// noLimit stands for a request that cannot go on elsewhere.
-const noLimit time.Duration = 0
-
-// reset starts the limit anew after a sign of life.
-func (g *silenceGuard) reset(limit time.Duration) {
-	if limit == noLimit {
-		g.timer.Stop()
-		return
-	}
-	g.timer.Reset(limit)
-}
-
-func (g *silenceGuard) stop() { g.timer.Stop() }
-
 // cause turns an error of reading into an outcome.
 func (f *Forwarder) cause(ctx context.Context, p *progress, guard *silenceGuard, err error) modeler.Outcome {
-	if guard.fired.Load() && ctx.Err() == nil {
-		p.prepaid = true
+	if next := guard.taken(); next != nil && ctx.Err() == nil {
+		p.next = next
+		p.paid++
 		return modeler.Silent
 	}
 	return f.failure(ctx, p, err, modeler.Broken)
@@ -312,6 +277,7 @@
 		}
 		// The time that a slow caller takes is not the engine's.
 		guard.stop()
+		p.heardAt = time.Now()
 		if !started {
 			started = true
 			f.Control.Post(modeler.AttemptStarted{ID: id})
@@ -332,7 +298,7 @@
 				return modeler.Abandoned, false
 			}
 		}
-		guard.reset(f.pause(p))
+		guard.watch(f.pause(p), true)
 	}
 }
 
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -114,6 +114,8 @@
 	maxSends = 4
 	// minLeft is the least time in which another attempt may succeed.
 	minLeft = 20 * time.Millisecond
+	// minResume is the same for the rest of a stream: an engine has to process the prompt again.
+	minResume = 150 * time.Millisecond
 )
 
 // progress is what is known of a call while it is served.
@@ -131,10 +133,13 @@
 	fault modeler.EndpointID
 	// failure is the last failure that an endpoint answered with.
 	failure *answer
-	// prepaid is set if the next repeat is taken from the budget already.
-	prepaid bool
-	// lastEvent is the id of the last event passed on, and begun tells whether the header was.
+	// arrived counts the attempts that may have reached an endpoint, and paid those that the budget was charged for: all but the first.
+	arrived, paid int
+	// next is a place that was found while the last endpoint was silent.
+	next *modeler.Decision
+	// lastEvent is the id of the last event passed on, heardAt its time, and begun tells whether the header was passed on.
 	lastEvent string
+	heardAt   time.Time
 	begun     bool
 	result    Result
 }
@@ -156,10 +161,14 @@
 // attempts sends the call to endpoints until one has answered it or none may be asked any more.
 func (f *Forwarder) attempts(ctx context.Context, p *progress, sink Sink) {
 	for {
-		decision, err := f.Control.Place(ctx, f.request(p))
+		decision, err := f.place(ctx, p)
 		if err != nil {
 			return
 		}
+		if decision.MayChange() && p.begun && time.Until(f.resumeEnd(p)) > minResume {
+			// The caller of a stream that has begun cannot be told to come back.
+			continue
+		}
 		if decision.Refused {
 			p.result.Reason, p.result.RetryAfter = decision.Reason, decision.RetryAfter
 			return
@@ -183,6 +192,24 @@
 	}
 }
 
+// place returns where the call goes next.
+func (f *Forwarder) place(ctx context.Context, p *progress) (modeler.Decision, error) {
+	if next := p.next; next != nil {
+		p.next = nil
+		return *next, nil
+	}
+	return f.Control.Place(ctx, f.request(p))
+}
+
+// resumeEnd is when the caller of a stream that has begun leaves.
+func (f *Forwarder) resumeEnd(p *progress) time.Time {
+	end := p.heardAt.Add(patience(p.call.Route))
+	if p.deadline.Before(end) {
+		return p.deadline
+	}
+	return end
+}
+
 // deadline returns when the caller, or the operator for it, gives up.
 func (f *Forwarder) deadline(call Call) time.Time {
 	limit := call.Route.Timeout
@@ -210,17 +237,32 @@
 		priority = call.Member.Priority
 	}
 	deadline := p.deadline
-	if call.Route.Kind == modeler.Stream && !p.begun {
+	if call.Route.Kind == modeler.Stream {
 		if end := call.Arrived.Add(patience(call.Route)); end.Before(deadline) {
 			deadline = end
 		}
 	}
-	return modeler.Request{
+	request := modeler.Request{
 		ID:   modeler.RequestID(string(call.Fields.ID) + "/" + strconv.Itoa(p.sends) + "/" + strconv.FormatUint(f.Self.Incarnation%1e4, 36)),
 		Node: f.Self.ID, Service: call.Service.ID, Kind: call.Route.Kind, Prompt: call.Fields.Prompt, Output: call.Fields.Output,
 		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: deadline, Gap: call.Route.GapTarget,
 		Priority: priority, Fingerprint: call.Fingerprint, Tried: p.tried, DataCentre: f.Self.DataCentre,
 	}
+	if p.begun {
+		return f.resumed(request, call.Route, p.deadline)
+	}
+	return request
+}
+
+// resumed returns the request for the rest of a stream that has begun. Its times count from now: it is no request that was late from the
+// start, which others would go before.
+func (f *Forwarder) resumed(request modeler.Request, route modeler.Route, deadline time.Time) modeler.Request {
+	now := time.Now()
+	request.Arrived, request.Due, request.Deadline = now, now.Add(route.Target), now.Add(patience(route))
+	if deadline.Before(request.Deadline) {
+		request.Deadline = deadline
+	}
+	return request
 }
 
 // mayRepeat tells whether the call may be sent to another endpoint.
@@ -232,14 +274,15 @@
 	if p.mayRun && !route.Repeatable() {
 		return false
 	}
-	if p.prepaid {
-		p.prepaid = false
+	if p.paid >= p.arrived {
+		// It was paid for by an attempt that reached no endpoint, or when the place was found.
 		return true
 	}
 	if !f.spend(p.call) {
 		p.result.Reason = modeler.ReasonBudget
 		return false
 	}
+	p.paid++
 	return true
 }
 
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -24,15 +24,22 @@
 type control struct {
 	endpoints []modeler.Endpoint
 	refusal   modeler.Decision
-	mu        sync.Mutex
-	outcomes  []modeler.Outcome
-	requests  []modeler.Request
+	// refusals is the number of places after the first that are refused though an endpoint is left.
+	refusals int
+	mu       sync.Mutex
+	outcomes []modeler.Outcome
+	requests []modeler.Request
 }
 
 func (c *control) Place(ctx context.Context, request modeler.Request) (modeler.Decision, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests = append(c.requests, request)
+	if len(c.requests) > 1 && c.refusals > 0 {
+		c.refusals--
+		c.refusal.Refused = true
+		return c.refusal, ctx.Err()
+	}
 	for _, e := range c.endpoints {
 		if !slices.Contains(request.Tried, e.ID) {
 			return modeler.Decision{Plan: modeler.Plan{Endpoint: e, First: 50 * time.Millisecond}}, ctx.Err()
@@ -410,6 +417,83 @@
 	assert.DeepEqual(t, b.control.outcomes, []modeler.Outcome{modeler.Silent, modeler.Answered})
 }
 
+// TestPausedStreamKeepsItsEngine guards against a stream that loses its engine, which is slow, for a place that does not exist: on an
+// unseen site dozens of streams of loaded engines ended so.
+func TestPausedStreamKeepsItsEngine(t *testing.T) {
+	tests := []struct {
+		name  string
+		stall time.Duration
+		place bool
+		runs  [2]int
+	}{
+		{"no place", 1700 * time.Millisecond, false, [2]int{1, 0}},
+		{"a place", 3 * time.Second, true, [2]int{1, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(t, 100)
+			b.first.SetFault(platformtest.EndpointFault{StallAfter: 2, Stall: tt.stall})
+			if !tt.place {
+				b.control.endpoints = b.control.endpoints[:1]
+			}
+			c := call(modeler.Stream, "/stream/1")
+			c.Route.Timeout = 6 * time.Second
+			s := &sink{}
+			result := b.forward.Serve(t.Context(), c, s)
+			assert.Equal(t, result.Status, forwarder.Delivered)
+			assert.Equal(t, s.body.String(), events(6))
+			assert.DeepEqual(t, [2]int{len(b.first.Runs()), len(b.second.Runs())}, tt.runs)
+		})
+	}
+}
+
+// TestResumeWaits guards against a stream that is given up because no engine was free at once, and against a question without end for a place
+// that cannot be given.
+func TestResumeWaits(t *testing.T) {
+	tests := []struct {
+		name     string
+		refusals int
+		reason   modeler.RefusalReason
+		status   forwarder.Status
+		asked    int
+	}{
+		{"free later", 2, modeler.ReasonOverloaded, forwarder.Delivered, 4},
+		{"none in service at first", 1, modeler.ReasonNoEndpoint, forwarder.Delivered, 3},
+		{"quarantined", 1, modeler.ReasonQuarantined, forwarder.Interrupted, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(t, 100)
+			b.first.SetFault(platformtest.EndpointFault{CutAfter: 2})
+			b.control.refusals, b.control.refusal = tt.refusals, modeler.Decision{Reason: tt.reason}
+			began := time.Now()
+			c := call(modeler.Stream, "/stream/1")
+			result := b.forward.Serve(t.Context(), c, &sink{})
+			assert.Equal(t, result.Status, tt.status)
+			assert.Equal(t, len(b.control.requests), tt.asked)
+			assert.Equal(t, b.control.requests[0].Arrived, c.Arrived)
+			rest := b.control.requests[1]
+			assert.Assert(t, !rest.Arrived.Before(began) && rest.Due.Sub(rest.Arrived) == c.Route.Target, "the rest is due from the loss on")
+		})
+	}
+}
+
+// TestUnreachableIsFree guards against a budget that is used up by attempts that reached no endpoint.
+func TestUnreachableIsFree(t *testing.T) {
+	// One repeat for one request: 0.8 x 0.2 + 0.5 x 2 with one node.
+	const oneRepeat = 2
+	b := newBed(t, oneRepeat)
+	gone := &platformtest.Endpoint{ID: "gone", Service: platformtest.PlainName, Slots: 4}
+	gone.Start()()
+	b.control.endpoints = slices.Insert(b.control.endpoints, 1, modeler.Endpoint{ID: "gone", Address: gone.Address()})
+	b.first.SetFault(platformtest.EndpointFault{CutAfter: 2})
+	s := &sink{}
+	result := b.forward.Serve(t.Context(), call(modeler.Stream, "/stream/1"), s)
+	assert.Equal(t, result.Status, forwarder.Delivered)
+	assert.Equal(t, s.body.String(), events(6))
+	assert.DeepEqual(t, b.control.outcomes, []modeler.Outcome{modeler.Broken, modeler.Unreachable, modeler.Answered})
+}
+
 // TestBlamedHelper guards against an engine that is given up because one of its helpers has left, while the helper is asked again.
 func TestBlamedHelper(t *testing.T) {
 	tests := []struct {
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -72,6 +72,8 @@
 	PlaceAsked struct{ Request Request }
 	// AttemptStarted says that the first event of an answer came.
 	AttemptStarted struct{ ID RequestID }
+	// AttemptSilent says that an attempt has been silent for too long. It goes on until there is another place.
+	AttemptSilent struct{ ID RequestID }
 	// AttemptEnded says how an attempt ended.
 	AttemptEnded struct {
 		ID      RequestID
@@ -99,6 +101,7 @@
 func (TopicFailed) event()          {}
 func (PlaceAsked) event()           {}
 func (AttemptStarted) event()       {}
+func (AttemptSilent) event()        {}
 func (AttemptEnded) event()         {}
 func (PlaceCancelled) event()       {}
 func (PeerReceived) event()         {}
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -25,7 +25,7 @@
 	}
 	// Started says that the first event of an attempt came.
 	Started struct{ ID RequestID }
-	// Ended says how an attempt ended.
+	// Ended says how an attempt ended. Without an id it only says what an attempt that goes on found out about the endpoint.
 	Ended struct {
 		ID          RequestID
 		Endpoint    EndpointID
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -111,6 +111,11 @@
 	RetryAfter time.Duration
 }
 
+// MayChange tells whether a request that is refused after a wait may find a place later.
+func (d Decision) MayChange() bool {
+	return d.Refused && (d.Reason == ReasonOverloaded || d.Reason == ReasonNoEndpoint)
+}
+
 // RefusalReason says why a request got no endpoint.
 type RefusalReason string
 
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -25,6 +25,8 @@
 		switch e := event.(type) {
 		case modeler.AttemptStarted:
 			lived(tick, world, e.ID)
+		case modeler.AttemptSilent:
+			silent(tick, world, e.ID)
 		case modeler.AttemptEnded:
 			s.ended(tick, world, e)
 		case modeler.PeerReceived:
@@ -55,6 +57,19 @@
 	}
 }
 
+// silent judges the endpoint of an attempt that goes on.
+func silent(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) {
+	assignment, ok := world.Assignments.Get(id)
+	if !ok {
+		return
+	}
+	found := modeler.Ended{Endpoint: assignment.Plan.Endpoint.ID, Outcome: modeler.Silent}
+	judge(tick, world, found)
+	if coordinator, ok := world.Nodes.Get(world.Coordinator); ok {
+		tick.Emit(modeler.Send{To: coordinator, Message: world.Message(found)})
+	}
+}
+
 func (s *System) ended(tick *modeler.Tick, world *modeler.World, e modeler.AttemptEnded) {
 	assignment, ok := world.Assignments.Get(e.ID)
 	if !ok {
