--- a/cmd/status_fleet.go
+++ b/cmd/status_fleet.go
@@ -56,7 +56,7 @@
 	switch {
 	case n.Sum("damaskpick_coordinates", nil) > 0:
 		return "coordinator"
-	case n.Sum("damaskpick_vouches", nil) > 0:
+	case n.Sum("damaskpick_reads_for_all", nil) > 0:
 		return "reads the store"
 	default:
 		return ""
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -179,7 +179,7 @@
 		if !node.HeardAt.IsZero() && tick.Now.Sub(node.HeardAt) > forgetAfter && !hello {
 			continue
 		}
-		if world.Coordinates() || world.Vouches || id == world.Coordinator || hello && (elects || greeted[id]) {
+		if world.Coordinates() || world.ReadsForAll || id == world.Coordinator || hello && (elects || greeted[id]) {
 			tick.Emit(modeler.Send{To: node, Message: message})
 			if digest != nil {
 				tick.Emit(modeler.Send{To: node, Message: world.Message(*digest)})
@@ -222,7 +222,7 @@
 }
 
 func (s *System) message(world *modeler.World) modeler.Message {
-	body := modeler.Beat{Node: world.Self, Coordinates: world.Coordinates(), Known: world.Known, Vouches: world.Vouches}
+	body := modeler.Beat{Node: world.Self, Coordinates: world.Coordinates(), Known: world.Known, ReadsForAll: world.ReadsForAll}
 	for _, id := range world.ByNode.Keys(world.Self.ID) {
 		if a, ok := world.Assignments.Get(id); ok {
 			body.Running = append(body.Running, a)
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -80,7 +80,7 @@
 }
 
 func decodeBeat(now time.Time, b *Beat) modeler.Beat {
-	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), Vouches: b.GetVouches()}
+	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), ReadsForAll: b.GetReadsForAll()}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.Known) {
 			beat.Known[i] = modeler.Known{End: k.GetEnd(), Material: k.GetMaterial(), Age: microseconds(k.GetAge())}
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -71,7 +71,7 @@
 }
 
 func encodeBeat(now time.Time, body modeler.Beat) *Beat {
-	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates, Vouches: body.Vouches}
+	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates, ReadsForAll: body.ReadsForAll}
 	for _, k := range body.Known {
 		beat.Known = append(beat.Known, &Known{End: k.End, Material: k.Material, Age: k.Age.Microseconds()})
 	}
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -48,7 +48,7 @@
 		{"ended", modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Garbled, Fingerprint: 1<<64 - 1}},
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithStarted(now)}, Known: [2]modeler.Known{{End: 4, Material: 3, Age: time.Second}, {End: 9}},
-			Vouches: true,
+			ReadsForAll: true,
 		}},
 		{"endpoint news", modeler.EndpointNews{From: 3, Next: 9, Changes: []modeler.EndpointChange{
 			{
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -40,8 +40,8 @@
 		Running     []Assignment
 		// Known says what the sender knows of Operators and Endpoints.
 		Known [2]Known
-		// Vouches is set if the sender has read the store itself and tells all others.
-		Vouches bool
+		// ReadsForAll is set if the sender has read the store itself and tells all others.
+		ReadsForAll bool
 	}
 	// OperatorState passes on everything that operators have written: the newest record of each key before Next. Age is how long ago the
 	// sender knew that nothing followed.
--- a/internal/fleet/modeler/node.go
+++ b/internal/fleet/modeler/node.go
@@ -35,7 +35,7 @@
 	return n
 }
 
-// WithReported returns the row after the coordinator vouched for the node.
+// WithReported returns the row after the coordinator said that it hears the node.
 func (n Node) WithReported(at time.Time) Node {
 	n.ReportedAt = at
 	return n
--- a/internal/fleet/modeler/snapshot.go
+++ b/internal/fleet/modeler/snapshot.go
@@ -13,15 +13,15 @@
 	Endpoints map[EndpointState]int
 	// OperatorsAge and EndpointsAge are the ages of what this node knows, whoever has read it, when the snapshot was taken.
 	OperatorsAge, EndpointsAge time.Duration
-	// Vouches is set while this node reads the store for all.
-	Vouches bool
-	Waiting int
+	// ReadsForAll is set while this node reads the store for all.
+	ReadsForAll bool
+	Waiting     int
 }
 
 // NewSnapshot returns a view of the world in which the given nodes are alive.
 func NewSnapshot(world *World, alive []Node, now time.Time) *Snapshot {
 	s := &Snapshot{
-		Self: world.Self, Coordinator: world.Coordinator, Configuration: world.Configuration, Alive: alive, Vouches: world.Vouches,
+		Self: world.Self, Coordinator: world.Coordinator, Configuration: world.Configuration, Alive: alive, ReadsForAll: world.ReadsForAll,
 		OperatorsAge: now.Sub(world.ConfirmedAt[Operators]), EndpointsAge: now.Sub(world.ConfirmedAt[Endpoints]), Waiting: world.Waiting.Len(),
 		Endpoints: map[EndpointState]int{},
 	}
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -52,8 +52,8 @@
 	Known [2]Known
 	// Elects is set if this node is one of those of lowest rank, which greet all others.
 	Elects bool
-	// Vouches is set while this node reads the store for all.
-	Vouches bool
+	// ReadsForAll is set while this node reads the store for all.
+	ReadsForAll bool
 }
 
 // NewWorld returns empty tables.
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -53,8 +53,8 @@
 		}
 		return 0
 	})
-	o.set.NewGauge("damaskpick_vouches", func() float64 {
-		if snapshot().Vouches {
+	o.set.NewGauge("damaskpick_reads_for_all", func() float64 {
+		if snapshot().ReadsForAll {
 			return 1
 		}
 		return 0
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -69,11 +69,11 @@
 // TestGauges guards against a figure of the control state that the metrics do not show.
 func TestGauges(t *testing.T) {
 	o := newObserver(&modeler.Snapshot{
-		Self: modeler.Node{ID: "n"}, Coordinator: "n", Vouches: true, Waiting: 2, OperatorsAge: 1500 * time.Millisecond,
+		Self: modeler.Node{ID: "n"}, Coordinator: "n", ReadsForAll: true, Waiting: 2, OperatorsAge: 1500 * time.Millisecond,
 		Endpoints: map[modeler.EndpointState]int{modeler.StateAvoided: 3},
 	})
 	tests := []string{
-		`damaskpick_endpoints{state="Avoided"} 3`, `damaskpick_endpoints{state="InService"} 0`, "damaskpick_coordinates 1", "damaskpick_vouches 1",
+		`damaskpick_endpoints{state="Avoided"} 3`, `damaskpick_endpoints{state="InService"} 0`, "damaskpick_coordinates 1", "damaskpick_reads_for_all 1",
 		"damaskpick_waiting 2", "damaskpick_operators_age_seconds 1.5", "damaskpick_repeats 7",
 	}
 	for _, want := range tests {
--- a/internal/fleet/poller/operators_test.go
+++ b/internal/fleet/poller/operators_test.go
@@ -98,11 +98,11 @@
 	}
 }
 
-// TestVouch guards against a store that all nodes read, because it turns the coordinator away, and against two nodes that go on to read it for
+// TestReadsForAll guards against a store that all nodes read, because it turns the coordinator away, and against two nodes that go on to read it for
 // all.
-func TestVouch(t *testing.T) {
-	vouching := func(from modeler.NodeID, rank int64) modeler.Event {
-		body := modeler.Beat{Node: modeler.Node{ID: from, Rank: rank}, Vouches: true}
+func TestReadsForAll(t *testing.T) {
+	reading := func(from modeler.NodeID, rank int64) modeler.Event {
+		body := modeler.Beat{Node: modeler.Node{ID: from, Rank: rank}, ReadsForAll: true}
 		return modeler.PeerReceived{Message: modeler.Message{From: from, Body: body}}
 	}
 	tests := []struct {
@@ -115,9 +115,9 @@
 		{"coordinates", "other", true, nil, true},
 		{"elects, and nobody reads", "n", true, nil, true},
 		{"does not elect", "n", false, nil, false},
-		{"the coordinator reads", "n", true, vouching("other", 1), false},
-		{"one of lower rank reads", "n", true, vouching("third", 2), false},
-		{"one of higher rank reads", "n", true, vouching("fourth", 9), true},
+		{"the coordinator reads", "n", true, reading("other", 1), false},
+		{"one of lower rank reads", "n", true, reading("third", 2), false},
+		{"one of higher rank reads", "n", true, reading("fourth", 9), true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -130,10 +130,10 @@
 				events = append(events, tt.event)
 			}
 			n.run(append(events, modeler.TopicRead{Topic: modeler.Operators, Next: 5, Current: n.now})...)
-			assert.Equal(t, n.world.Vouches, tt.want)
+			assert.Equal(t, n.world.ReadsForAll, tt.want)
 			n.now = n.now.Add(time.Second)
 			n.run()
-			assert.Assert(t, !n.world.Vouches, "its last read is too old")
+			assert.Assert(t, !n.world.ReadsForAll, "its last read is too old")
 		})
 	}
 }
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -18,9 +18,9 @@
 	maxAge = 1200 * time.Millisecond
 	// readerGrace is how much longer nodes that do not elect wait for the word of those that do: a read and a datagram.
 	readerGrace = 200 * time.Millisecond
-	// vouchAge is the age at which another node's word still counts.
-	vouchAge = time.Second
-	// newsGrace is how long a node that is behind waits for the records from the node that vouches, which sends them after each beat.
+	// trustAge is the age at which another node's word still counts.
+	trustAge = time.Second
+	// newsGrace is how long a node that is behind waits for the records from the node that reads for all, which sends them after each beat.
 	newsGrace = 300 * time.Millisecond
 	// endpointInterval is the shortest time between two reads of the endpoints' entries, which engines write often.
 	endpointInterval = 300 * time.Millisecond
@@ -61,8 +61,9 @@
 	material int64
 
 	operators operators
-	// ownRead is when this node last read for itself what operators wrote, and vouchedAt when a node that comes before it last vouched.
-	ownRead, vouchedAt time.Time
+	// ownRead is when this node last read for itself what operators wrote, and readerHeardAt when a node that comes before it last said that
+	// it reads for all.
+	ownRead, readerHeardAt time.Time
 }
 
 // New returns the system.
@@ -91,7 +92,7 @@
 			s.receive(tick, world, e.Message)
 		}
 	}
-	s.vouch(tick.Now, world)
+	s.settleReader(tick.Now, world)
 	s.tell(tick, world)
 	for i, topic := range topics {
 		s.fetch(tick, world, topic, &s.readings[i])
@@ -157,9 +158,9 @@
 	return known.ChangedAt == change.Offset || change.ColdFor > 0
 }
 
-// vouch settles whether this node reads the store for all: as the coordinator, or in its place while no node that comes before does.
-func (s *System) vouch(now time.Time, world *modeler.World) {
-	world.Vouches = (world.Coordinates() || world.Elects && now.Sub(s.vouchedAt) > vouchAge) && now.Sub(s.ownRead) < vouchAge
+// settleReader settles whether this node reads the store for all: as the coordinator, or in its place while no node that comes before does.
+func (s *System) settleReader(now time.Time, world *modeler.World) {
+	world.ReadsForAll = (world.Coordinates() || world.Elects && now.Sub(s.readerHeardAt) > trustAge) && now.Sub(s.ownRead) < trustAge
 }
 
 // tell sends what is new to all nodes.
@@ -177,7 +178,7 @@
 
 // tellAll sends a message to all live nodes if this node reads for them.
 func (s *System) tellAll(tick *modeler.Tick, world *modeler.World, body modeler.MessageBody) {
-	if !world.Vouches && !world.Coordinates() {
+	if !world.ReadsForAll && !world.Coordinates() {
 		return
 	}
 	message := world.Message(body)
@@ -211,7 +212,7 @@
 			if r.behind.IsZero() && r.target > world.Ends[topic] {
 				r.behind = tick.Now
 			}
-			if !r.listed || known.Age > vouchAge || world.Ends[topic] < known.Material {
+			if !r.listed || known.Age > trustAge || world.Ends[topic] < known.Material {
 				continue
 			}
 			world.Ends[topic] = max(world.Ends[topic], known.End)
@@ -223,13 +224,13 @@
 	}
 }
 
-// heard notes who else vouches, and sends the operators' records to a node that lacks some.
+// heard notes who else reads for all, and sends the operators' records to a node that lacks some.
 func (s *System) heard(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, beat modeler.Beat) {
-	if beat.Vouches && (from == world.Coordinator || beat.Node.Rank < world.Self.Rank) {
-		s.vouchedAt = tick.Now
+	if beat.ReadsForAll && (from == world.Coordinator || beat.Node.Rank < world.Self.Rank) {
+		s.readerHeardAt = tick.Now
 	}
 	peer, ok := world.Nodes.Get(from)
-	if !ok || !world.Vouches && !world.Coordinates() || beat.Known[modeler.Operators].End >= s.operators.next {
+	if !ok || !world.ReadsForAll && !world.Coordinates() || beat.Known[modeler.Operators].End >= s.operators.next {
 		return
 	}
 	if state, ok := s.operators.state(); ok {
@@ -259,7 +260,7 @@
 		}
 	}
 	old := tick.Now.Sub(world.ConfirmedAt[topic]) >= longestAge(world)
-	alone := world.Coordinates() || world.Coordinator == "" || world.Vouches
+	alone := world.Coordinates() || world.Coordinator == "" || world.ReadsForAll
 	if !behind && !old && !alone {
 		tick.WakeAt(world.ConfirmedAt[topic].Add(longestAge(world)))
 		return
@@ -280,7 +281,7 @@
 	tick.Emit(modeler.Fetch{Topic: topic, From: world.Ends[topic], Wait: wait})
 }
 
-// publish tells the other systems what this node can vouch for.
+// publish tells the other systems what this node knows and how recently.
 func (s *System) publish(now time.Time, world *modeler.World) {
 	for i, topic := range topics {
 		known := modeler.Known{End: world.Ends[topic], Material: world.Ends[topic], Age: now.Sub(world.ConfirmedAt[i])}
