List the events of the log in one place, and check settings of the platform's nodes with settings check

Cause: names of events stood as text in each system and in the commands that read logs, so that a new one could miss the operators' page; settings check knew only the settings of damaskpick serve.

Ruled out: one check that guesses the kind of a file from its fields, which would report the wrong findings for a file with a slip.

--- a/cmd/fleet_test.go
+++ b/cmd/fleet_test.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// TestFleetSettingsCheck guards against a check that takes the settings of the one kind of node for those of the other.
+func TestFleetSettingsCheck(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		code int
+		says string
+	}{
+		{"fleet", []string{"--fleet", "../docs/examples/fleet.jsonc"}, cmd.ExitOK, "valid, node "},
+		{"not named as fleet", []string{"../docs/examples/fleet.jsonc"}, cmd.ExitFindings, "unknown field"},
+		{"other settings", []string{"--fleet", "../docs/examples/damaskpick.jsonc"}, cmd.ExitFindings, "../docs/examples/damaskpick.jsonc:"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out strings.Builder
+			code := cmd.Run(append([]string{"settings", "check"}, tt.args...), cmd.Environment{Out: &out, Err: &out})
+			assert.Equal(t, code, tt.code)
+			assert.Assert(t, strings.Contains(out.String(), tt.says), "%s", out.String())
+		})
+	}
+}
+
 // TestTrace guards against a command that says nothing about a request without a line.
 func TestTrace(t *testing.T) {
 	const log = "time=2026-01-01T00:00:00.000Z level=info message=RequestEnded Request=r1 Status=Refused\n"
--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -63,7 +63,7 @@
 		return
 	}
 	world.Configuration = next
-	tick.Emit(modeler.Note{Name: "ConfigurationApplied", Fields: []modeler.Field{
+	tick.Emit(modeler.Note{Name: modeler.NoteConfigurationApplied, Fields: []modeler.Field{
 		{Key: "Version", Value: next.Version}, {Key: "Offset", Value: next.Offset},
 		{Key: "Replaced", Value: current.Version}, {Key: "Routes", Value: next.Routes()},
 	}})
@@ -86,7 +86,7 @@
 }
 
 func noteDataCentre(tick *modeler.Tick, id modeler.DataCentreID, out bool, offset int64) {
-	tick.Emit(modeler.Note{Name: "DataCentreChanged", Fields: []modeler.Field{
+	tick.Emit(modeler.Note{Name: modeler.NoteDataCentreChanged, Fields: []modeler.Field{
 		{Key: "DataCentre", Value: string(id)}, {Key: "Out", Value: out}, {Key: "Offset", Value: offset},
 	}})
 }
@@ -120,9 +120,9 @@
 		world.Health.Delete(next.ID)
 	}
 	if !known || current.Draining != next.Draining || current.Born != next.Born {
-		name := "EndpointChanged"
+		name := modeler.NoteEndpointChanged
 		if !known {
-			name = "EndpointKnown"
+			name = modeler.NoteEndpointKnown
 		}
 		tick.Emit(modeler.Note{Name: name, Fields: []modeler.Field{
 			{Key: "Endpoint", Value: string(next.ID)}, {Key: "Service", Value: string(next.Service)}, {Key: "Address", Value: next.Address},
@@ -172,7 +172,7 @@
 		world.Endpoints.Delete(id)
 		restart(world, id)
 	}
-	tick.Emit(modeler.Note{Name: "EndpointRemoved", Fields: []modeler.Field{
+	tick.Emit(modeler.Note{Name: modeler.NoteEndpointRemoved, Fields: []modeler.Field{
 		{Key: "Endpoint", Value: string(id)}, {Key: "Offset", Value: offset}, {Key: "Kept", Value: lapsed}, {Key: "Unreadable", Value: unreadable},
 	}})
 }
@@ -207,7 +207,7 @@
 // regained notes the return of the store, as this node or another one sees it.
 func (s *System) regained(tick *modeler.Tick, world *modeler.World) {
 	s.failing, s.recoveredAt = false, tick.Now
-	tick.Emit(modeler.Note{Name: "StoreRegained", Fields: []modeler.Field{
+	tick.Emit(modeler.Note{Name: modeler.NoteStoreRegained, Fields: []modeler.Field{
 		{Key: "Topic", Value: modeler.Endpoints.String()}, {Key: "SinceFailure", Value: tick.Now.Sub(world.FailedAt[modeler.Endpoints])},
 	}})
 }
@@ -218,7 +218,7 @@
 		return
 	}
 	s.failing = true
-	tick.Emit(modeler.Note{Name: "StoreLost", Fields: []modeler.Field{
+	tick.Emit(modeler.Note{Name: modeler.NoteStoreLost, Fields: []modeler.Field{
 		{Key: "Topic", Value: e.Topic.String()}, {Key: "Reason", Value: e.Reason}, {Key: "Offset", Value: world.Ends[e.Topic]},
 	}})
 }
@@ -242,7 +242,7 @@
 		}
 		world.Endpoints.Delete(id)
 		restart(world, id)
-		tick.Emit(modeler.Note{Name: "EndpointLapsed", Fields: []modeler.Field{
+		tick.Emit(modeler.Note{Name: modeler.NoteEndpointLapsed, Fields: []modeler.Field{
 			{Key: "Endpoint", Value: string(id)}, {Key: "MissingFor", Value: tick.Now.Sub(endpoint.MissingSince)},
 		}})
 	}
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return errors.Join(err, closePeers())
 	}
-	n.observer.Lifecycle("NodeStarted", modeler.Field{Key: "Node", Value: settings.Node.Name},
+	n.observer.Lifecycle(modeler.NoteNodeStarted, modeler.Field{Key: "Node", Value: settings.Node.Name},
 		modeler.Field{Key: "DataCentre", Value: settings.Node.DataCentre}, modeler.Field{Key: "Incarnation", Value: int64(self.Incarnation)})
 
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -158,7 +158,7 @@
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
-	n.observer.Lifecycle("NodeStopped", modeler.Field{Key: "Node", Value: settings.Node.Name}, modeler.Field{Key: "Active", Value: n.active.Load()})
+	n.observer.Lifecycle(modeler.NoteNodeStopped, modeler.Field{Key: "Node", Value: settings.Node.Name}, modeler.Field{Key: "Active", Value: n.active.Load()})
 	return nil
 }
 
@@ -193,7 +193,7 @@
 // leave serves on until callers have forgotten this node's address and the last request has ended, or the grace period is nearly over.
 func (n *Node) leave(ctx context.Context) {
 	began := time.Now()
-	n.observer.Lifecycle("NodeLeaving", modeler.Field{Key: "Active", Value: n.active.Load()})
+	n.observer.Lifecycle(modeler.NoteNodeLeaving, modeler.Field{Key: "Active", Value: n.active.Load()})
 	n.loop.Post(modeler.LeaveAsked{})
 	grace := loader.Seconds(n.settings.Bounds.GraceSeconds) - stopMargin
 	forgotten := loader.Seconds(n.settings.Addresses.KeepSeconds*n.settings.Addresses.LongestKeep) + stopMargin
@@ -224,7 +224,7 @@
 			if err := process.Check(); err != nil {
 				findings = err.Error()
 			}
-			n.observer.Lifecycle("SettingsChecked", modeler.Field{Key: "Findings", Value: findings})
+			n.observer.Lifecycle(modeler.NoteSettingsChecked, modeler.Field{Key: "Findings", Value: findings})
 		}
 	}
 }
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -166,7 +166,7 @@
 	}
 	// Note is a line of the log.
 	Note struct {
-		Name    string
+		Name    NoteName
 		Request RequestID
 		Fields  []Field
 	}
--- /dev/null
+++ b/internal/fleet/modeler/note_test.go
@@ -0,0 +1,22 @@
+package modeler_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// TestNotesAreDocumented guards against an event of the log that the operators' page does not explain.
+func TestNotesAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for _, name := range modeler.NoteNames {
+		t.Run(string(name), func(t *testing.T) {
+			assert.Assert(t, strings.Contains(string(page), "`"+string(name)+"`"))
+		})
+	}
+}
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -70,11 +70,11 @@
 func (o *Observer) ServeHTTP(w http.ResponseWriter, _ *http.Request) { o.set.WritePrometheus(w) }
 
 // ordinary are the events whose lines are limited: places of requests, and entries that a node reads for the first time.
-var ordinary = map[string]bool{"Placed": true, "EndpointKnown": true}
+var ordinary = map[modeler.NoteName]bool{modeler.NotePlaced: true, modeler.NoteEndpointKnown: true}
 
 // Note writes a line of the control goroutine.
 func (o *Observer) Note(note modeler.Note) {
-	o.set.GetOrCreateCounter(`damaskpick_decisions_total{event="` + note.Name + `"}`).Inc()
+	o.set.GetOrCreateCounter(`damaskpick_decisions_total{event="` + string(note.Name) + `"}`).Inc()
 	log := o.options.Events
 	if ordinary[note.Name] {
 		log = o.options.Requests
@@ -86,7 +86,7 @@
 	for _, field := range note.Fields {
 		line = addField(line, field)
 	}
-	line.Msg(note.Name)
+	line.Msg(string(note.Name))
 }
 
 func addField(line *zerolog.Event, field modeler.Field) *zerolog.Event {
@@ -114,7 +114,7 @@
 func (o *Observer) Retried(call forwarder.Call, attempt int, last modeler.Outcome, endpoint modeler.EndpointID) {
 	o.set.GetOrCreateCounter(`damaskpick_retries_total{outcome="` + last.String() + `"}`).Inc()
 	o.options.Events.Info().Str("Request", string(call.Fields.ID)).Int("Attempt", attempt).Str("Outcome", last.String()).
-		Str("Endpoint", string(endpoint)).Dur("Age", time.Since(call.Arrived)).Msg("AttemptRepeated")
+		Str("Endpoint", string(endpoint)).Dur("Age", time.Since(call.Arrived)).Msg(string(modeler.NoteAttemptRepeated))
 }
 
 // Ended writes a line for a request.
@@ -139,7 +139,7 @@
 	if r.Reason != "" {
 		line = line.Str("Reason", string(r.Reason)).Dur("RetryAfter", r.RetryAfter)
 	}
-	line.Msg("RequestEnded")
+	line.Msg(string(modeler.NoteRequestEnded))
 }
 
 // last names the outcome of the last attempt, if there was one.
@@ -153,20 +153,20 @@
 // Rejected writes a line for a request that reached no route.
 func (o *Observer) Rejected(id modeler.RequestID, code int, version int64, age time.Duration) {
 	o.set.GetOrCreateCounter(`damaskpick_rejected_total{code="` + http.StatusText(code) + `"}`).Inc()
-	o.options.Events.Info().Str("Request", string(id)).Int("Code", code).Int64("Version", version).Dur("ConfigurationAge", age).Msg("RequestRejected")
+	o.options.Events.Info().Str("Request", string(id)).Int("Code", code).Int64("Version", version).Dur("ConfigurationAge", age).Msg(string(modeler.NoteRequestRejected))
 }
 
 // Unreadable writes a line for a record of the store that cannot be decoded.
 func (o *Observer) Unreadable(topic modeler.Topic, record modeler.Record, err error) {
 	o.set.GetOrCreateCounter(`damaskpick_unreadable_records_total{topic="` + topic.String() + `"}`).Inc()
-	o.options.Events.Warn().Str("Topic", topic.String()).Str("Key", record.Key).Int64("Offset", record.Offset).Err(err).Msg("RecordUnreadable")
+	o.options.Events.Warn().Str("Topic", topic.String()).Str("Key", record.Key).Int64("Offset", record.Offset).Err(err).Msg(string(modeler.NoteRecordUnreadable))
 }
 
 // Lifecycle writes a line for the start, stop or reload of the process.
-func (o *Observer) Lifecycle(name string, fields ...modeler.Field) {
+func (o *Observer) Lifecycle(name modeler.NoteName, fields ...modeler.Field) {
 	line := o.options.Events.Info()
 	for _, field := range fields {
 		line = addField(line, field)
 	}
-	line.Msg(name)
+	line.Msg(string(name))
 }
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -219,7 +219,7 @@
 			world.Waiting.Put(id, modeler.Waiting{Request: row.Request, Since: tick.Now})
 			if ok && !world.Doubted {
 				world.Doubted = true
-				tick.Emit(modeler.Note{Name: "CoordinatorDoubted", Request: id, Fields: []modeler.Field{
+				tick.Emit(modeler.Note{Name: modeler.NoteCoordinatorDoubted, Request: id, Fields: []modeler.Field{
 					{Key: "Coordinator", Value: string(world.Coordinator)}, {Key: "HeardBefore", Value: tick.Now.Sub(coordinator.HeardAt)},
 				}})
 			}
@@ -324,12 +324,12 @@
 func placedNote(now time.Time, world *modeler.World, row modeler.Waiting, decision modeler.Decision) modeler.Note {
 	request := row.Request
 	if decision.Refused {
-		return modeler.Note{Name: "PlaceRefused", Request: request.ID, Fields: []modeler.Field{
+		return modeler.Note{Name: modeler.NotePlaceRefused, Request: request.ID, Fields: []modeler.Field{
 			{Key: "Reason", Value: string(decision.Reason)}, {Key: "Waited", Value: now.Sub(row.Since)}, {Key: "Prompt", Value: request.Prompt},
 			{Key: "Waiting", Value: world.Waiting.Len()}, {Key: "EndpointsAge", Value: now.Sub(world.ConfirmedAt[modeler.Endpoints])},
 		}}
 	}
-	return modeler.Note{Name: "Placed", Request: request.ID, Fields: []modeler.Field{
+	return modeler.Note{Name: modeler.NotePlaced, Request: request.ID, Fields: []modeler.Field{
 		{Key: "Endpoint", Value: string(decision.Plan.Endpoint.ID)}, {Key: "Helpers", Value: names(decision.Plan.Helpers)},
 		{Key: "Expected", Value: decision.Plan.First}, {Key: "Waited", Value: now.Sub(row.Since)}, {Key: "Left", Value: request.Due.Sub(now)},
 		{Key: "Prompt", Value: request.Prompt}, {Key: "Coordinates", Value: world.Coordinates()},
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -124,7 +124,7 @@
 	world.Health.Put(e.Endpoint, health)
 	avoided, avoids := tick.Now.Before(before.AvoidUntil), tick.Now.Before(health.AvoidUntil)
 	if avoided != avoids || health.Misdirected != before.Misdirected {
-		tick.Emit(modeler.Note{Name: "EndpointJudged", Request: e.ID, Fields: []modeler.Field{
+		tick.Emit(modeler.Note{Name: modeler.NoteEndpointJudged, Request: e.ID, Fields: []modeler.Field{
 			{Key: "Endpoint", Value: string(e.Endpoint)}, {Key: "Outcome", Value: e.Outcome.String()}, {Key: "Failures", Value: health.Failures},
 			{Key: "FailureRate", Value: health.FailureRate(tick.Now)}, {Key: "Misdirected", Value: health.Misdirected},
 		}})
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -155,7 +155,7 @@
 		tick := &modeler.Tick{Now: start, Events: []modeler.Event{modeler.AttemptEnded{ID: id, Outcome: modeler.Unreachable}}}
 		system.Run(tick, world)
 		for _, effect := range tick.Effects() {
-			if note, ok := effect.(modeler.Note); ok && note.Name == "EndpointJudged" {
+			if note, ok := effect.(modeler.Note); ok && note.Name == modeler.NoteEndpointJudged {
 				lines++
 			}
 		}
--- a/internal/telemetry/aggregator/day.go
+++ b/internal/telemetry/aggregator/day.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/telemetry/logger"
 	"damaskpick.example/damaskpick/internal/telemetry/parser"
 )
 
@@ -47,7 +49,9 @@
 // Measures are the columns of each day.
 var Measures = []Measure{
 	{"DELIVERED", count(ended("Delivered"))},
-	{"LATE", count(func(l parser.Line) bool { return l.Message == "RequestEnded" && l.Get("Late") == "true" })},
+	{"LATE", count(func(l parser.Line) bool {
+		return l.Message == string(modeler.NoteRequestEnded) && l.Get("Late") == "true"
+	})},
 	{"REFUSED", count(ended("Refused"))},
 	{"UNKNOWN", count(ended("Unknown", "TimedOut"))},
 	{"BROKEN", count(ended("Interrupted"))},
@@ -56,14 +60,14 @@
 	{"SHORT P95", first(1, shortPrompt)},
 	{"MEDIUM P95", first(shortPrompt+1, mediumPrompt)},
 	{"LONG P95", first(mediumPrompt+1, 1<<62)},
-	{"REPEATS", count(message("AttemptRepeated"))},
-	{"JUDGED", count(message("EndpointJudged"))},
-	{"COORDINATOR", count(message("CoordinatorChanged"))},
-	{"STORE LOST", count(message("StoreLost"))},
+	{"REPEATS", count(message(modeler.NoteAttemptRepeated))},
+	{"JUDGED", count(message(modeler.NoteEndpointJudged))},
+	{"COORDINATOR", count(message(modeler.NoteCoordinatorChanged))},
+	{"STORE LOST", count(message(modeler.NoteStoreLost))},
 	{"DROPPED", func(lines []parser.Line) float64 {
 		sum := 0.0
 		for _, l := range lines {
-			if l.Message == "LinesDropped" {
+			if l.Message == logger.LinesDropped {
 				sum += l.Number("Count")
 			}
 		}
@@ -71,13 +75,13 @@
 	}},
 }
 
-func message(name string) func(parser.Line) bool {
-	return func(l parser.Line) bool { return l.Message == name }
+func message(name modeler.NoteName) func(parser.Line) bool {
+	return func(l parser.Line) bool { return l.Message == string(name) }
 }
 
 func ended(statuses ...string) func(parser.Line) bool {
 	return func(l parser.Line) bool {
-		return l.Message == "RequestEnded" && slices.Contains(statuses, l.Get("Status"))
+		return l.Message == string(modeler.NoteRequestEnded) && slices.Contains(statuses, l.Get("Status"))
 	}
 }
 
@@ -101,7 +105,7 @@
 		var times []float64
 		for _, l := range lines {
 			prompt := l.Number("Prompt")
-			if l.Message == "RequestEnded" && prompt >= least && prompt <= most && l.Number("First") > 0 {
+			if l.Message == string(modeler.NoteRequestEnded) && prompt >= least && prompt <= most && l.Number("First") > 0 {
 				times = append(times, l.Number("First"))
 			}
 		}
@@ -122,7 +126,7 @@
 	for scanner.Scan() {
 		if l, ok := parser.Parse(scanner.Text()); ok {
 			lines = append(lines, l)
-			requests = requests || l.Message == "RequestEnded"
+			requests = requests || l.Message == string(modeler.NoteRequestEnded)
 		}
 	}
 	if err := scanner.Err(); err != nil {
--- a/internal/telemetry/logger/async.go
+++ b/internal/telemetry/logger/async.go
@@ -12,6 +12,8 @@
 	asyncLines = 2048
 	// reportInterval is how often dropped lines are counted in the log.
 	reportInterval = time.Second
+	// LinesDropped is the message of the line that counts them, in its field Count.
+	LinesDropped = "LinesDropped"
 )
 
 // Async writes lines on a goroutine of its own, so that a slow reader of the log delays nothing. Lines beyond a rate, or for which there is
@@ -100,7 +102,7 @@
 	a.dropped = 0
 	a.mu.Unlock()
 	if dropped > 0 {
-		_, _ = fmt.Fprintf(a.out, "time=%s level=warn message=LinesDropped Count=%d\n", now.Format(timeFormat), dropped)
+		_, _ = fmt.Fprintf(a.out, "time=%s level=warn message=%s Count=%d\n", now.Format(timeFormat), LinesDropped, dropped)
 	}
 }
 
--- a/internal/telemetry/tracer/tracer.go
+++ b/internal/telemetry/tracer/tracer.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/telemetry/logger"
 	"damaskpick.example/damaskpick/internal/telemetry/parser"
 )
 
@@ -15,9 +17,10 @@
 const lineLimit = 1 << 20
 
 // beliefs are the events that change what a node believes about all endpoints.
-var beliefs = map[string]bool{
-	"CoordinatorChanged": true, "CoordinatorDoubted": true, "StoreLost": true, "StoreRegained": true, "ConfigurationApplied": true,
-	"DataCentreChanged": true, "NodeStarted": true, "NodeLeaving": true, "NodeStopped": true, "LinesDropped": true,
+var beliefs = map[modeler.NoteName]bool{
+	modeler.NoteCoordinatorChanged: true, modeler.NoteCoordinatorDoubted: true, modeler.NoteStoreLost: true, modeler.NoteStoreRegained: true,
+	modeler.NoteConfigurationApplied: true, modeler.NoteDataCentreChanged: true, modeler.NoteNodeStarted: true,
+	modeler.NoteNodeLeaving: true, modeler.NoteNodeStopped: true, logger.LinesDropped: true,
 }
 
 // Trace writes the lines about a request in the order of their times: its own ones, and from the nodes that wrote them, those about the
@@ -47,7 +50,7 @@
 		within := !l.At.Before(first) && !l.At.After(last)
 		judged := !l.At.After(last) && strings.HasPrefix(l.Message, "Endpoint") &&
 			slices.ContainsFunc(endpoints(l), func(e string) bool { return used[e] })
-		if !about(l, request) && (!nodes[node(l)] || !judged && (!within || !beliefs[l.Message])) {
+		if !about(l, request) && (!nodes[node(l)] || !judged && (!within || !beliefs[modeler.NoteName(l.Message)])) {
 			continue
 		}
 		if _, err := fmt.Fprintln(out, l.Text); err != nil {
