--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -529,11 +529,9 @@
 func TestManyUnreachable(t *testing.T) {
 	b := newBed(t, 0)
 	gone := closedAddress(t)
-	var endpoints []modeler.Endpoint
 	for _, id := range []modeler.EndpointID{"g1", "g2", "g3", "g4", "g5"} {
-		endpoints = append(endpoints, modeler.Endpoint{ID: id, Address: gone})
+		b.control.endpoints = slices.Insert(b.control.endpoints, 0, modeler.Endpoint{ID: id, Address: gone})
 	}
-	b.control.endpoints = append(endpoints, b.control.endpoints...)
 	result := b.forward.Serve(t.Context(), call(modeler.Unsafe, "/book/1"), &sink{})
 	assert.Equal(t, result.Status, forwarder.Delivered)
 	assert.Equal(t, result.Attempts, 6)
