Never end a connection for a silence that is over

Cause: a guard's timer can fire at the moment of a sign of life or of the end of the exchange. The search for a place then counted from after it, so that a live stream could lose its engine, or a connection that was back in the pool and carried another request could be closed.

Ruled out: stopping the timer alone, which does not call back a function that runs already.

Change: each search knows the number of signs of life that it follows, and does nothing if another one came. Two functions that said when a caller leaves are one, and a digest lists the live nodes once.

--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -23,8 +23,9 @@
 
 // digest returns what the coordinator tells all nodes.
 func (s *System) digest(now time.Time, world *modeler.World) *modeler.Digest {
-	digest := &modeler.Digest{Alive: s.rows(Alive(world, now))}
-	for _, node := range Alive(world, now) {
+	alive := Alive(world, now)
+	digest := &modeler.Digest{Alive: s.rows(alive)}
+	for _, node := range alive {
 		if node.Rank != modeler.UnregisteredRank {
 			digest.AliveRanks = append(digest.AliveRanks, node.Rank)
 		}
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -169,7 +169,7 @@
 		if err != nil {
 			return
 		}
-		if decision.MayChange() && p.begun && time.Until(f.resumeEnd(p)) > minResume {
+		if decision.MayChange() && p.begun && time.Until(f.leaves(p)) > minResume {
 			// The caller of a stream that has begun cannot be told to come back.
 			continue
 		}
@@ -211,21 +211,13 @@
 	return f.Control.Place(ctx, f.request(p))
 }
 
-// resumeEnd is when the caller of a stream that has begun leaves.
-func (f *Forwarder) resumeEnd(p *progress) time.Time {
-	end := p.heardAt.Add(patience(p.call.Route))
-	if p.deadline.Before(end) {
-		return p.deadline
-	}
-	return end
-}
-
-// leaves returns when the caller of a stream leaves that gets no event.
+// leaves returns when the caller leaves if it gets nothing more: at its deadline, or earlier when a stream pauses for too long.
 func (f *Forwarder) leaves(p *progress) time.Time {
+	last := p.call.Arrived
 	if p.begun {
-		return f.resumeEnd(p)
+		last = p.heardAt
 	}
-	if end := p.call.Arrived.Add(patience(p.call.Route)); p.call.Route.Kind == modeler.Stream && end.Before(p.deadline) {
+	if end := last.Add(patience(p.call.Route)); p.call.Route.Kind == modeler.Stream && end.Before(p.deadline) {
 		return end
 	}
 	return p.deadline
--- a/internal/fleet/forwarder/guard.go
+++ b/internal/fleet/forwarder/guard.go
@@ -26,9 +26,10 @@
 	request  modeler.Request
 	deadline time.Time
 	abort    func()
-	timer    *time.Timer
 
 	mu sync.Mutex
+	// timer is replaced by each sign of life, so that one which fires at the same moment is known to be outdated.
+	timer *time.Timer
 	// signs counts the signs of life. A place that was asked for before the last one is not used.
 	signs int
 	// cancel withdraws the question for a place.
@@ -45,8 +46,6 @@
 	g := &silenceGuard{
 		forward: f, call: p.call, id: id, request: request, deadline: p.deadline, abort: abort, resuming: p.begun, cancel: func() {},
 	}
-	// The timer is stopped or set anew before it can fire; a limit of zero would fire at once.
-	g.timer = time.AfterFunc(time.Hour, g.seek)
 	g.watch(limit, p.begun)
 	return g
 }
@@ -58,10 +57,16 @@
 	g.alive()
 	g.resuming = resuming
 	if limit != noLimit {
-		g.timer.Reset(limit)
+		g.seekAfter(limit)
 	}
 }
 
+// seekAfter looks for a place after a time without a sign of life.
+func (g *silenceGuard) seekAfter(limit time.Duration) {
+	signs := g.signs
+	g.timer = time.AfterFunc(limit, func() { g.seek(signs) })
+}
+
 // stop ends the watch.
 func (g *silenceGuard) stop() {
 	g.mu.Lock()
@@ -72,7 +77,9 @@
 func (g *silenceGuard) alive() {
 	g.signs++
 	g.cancel()
-	g.timer.Stop()
+	if g.timer != nil {
+		g.timer.Stop()
+	}
 }
 
 // taken returns the place that was found, if the connection was ended for it.
@@ -82,12 +89,16 @@
 	return g.next
 }
 
-// seek asks for a place and ends the connection once there is one.
-func (g *silenceGuard) seek() {
+// seek asks for a place and ends the connection once there is one, unless a sign of life came after the given number of them.
+func (g *silenceGuard) seek(signs int) {
 	g.mu.Lock()
+	if g.signs != signs {
+		g.mu.Unlock()
+		return
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), g.deadline)
 	defer cancel()
-	signs, request := g.signs, g.request
+	request := g.request
 	if g.resuming {
 		request = g.forward.resumed(request, g.call.Route, g.deadline)
 	}
@@ -106,7 +117,7 @@
 	silent := g.signs == signs
 	switch {
 	case decision.Refused && silent:
-		g.timer.Reset(seekInterval)
+		g.seekAfter(seekInterval)
 	case decision.Refused:
 	case silent && g.forward.spend(g.call):
 		g.next = &decision
