Decide again only what a change can have let in

Cause: every tick sorted all waiting requests and compared each with up to 96 engines, whatever the tick's event was. At 135 engines with 300 waiting a tick took 71 ms (issue on the large fleet), while a retry was due every 15 ms and nodes stop waiting after 100 ms: the coordinator fell silent exactly when there was a queue, and all nodes placed on the same engines. Change: waiting requests keep their order in a queue and belong to groups that need the same; a pass runs only after freed capacity (at most every 4 ms) or at the retry interval, stops in each group at the first request that has to wait, and makes at most 24 decisions a tick. Forwarded requests are looked at when one is due, and a new coordinator is asked for all at once. Ruled out: handling all asks in one tick without a bound, since a tick of 256 decisions is late on a fifth of a core.

--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -44,6 +44,10 @@
 	// PrefillEnd holds the expected end of the prefill work that is assigned to each engine.
 	PrefillEnd     *tabler.Table[EndpointID, time.Time]
 	BrokenAttempts *tabler.Table[Fingerprint, BrokenAttempts]
+	// Releases counts the changes of assignments that free a slot, memory or prefill time.
+	Releases uint64
+	// changedEndpoints holds the endpoints whose assignments changed since the last call of TakeChangedEndpoints.
+	changedEndpoints map[EndpointID]struct{}
 
 	// NextOffsets holds the offset before which all records of each topic are known, and FailedAt the time of the last failed call.
 	NextOffsets [3]int64
@@ -74,6 +78,8 @@
 		Forwarded:       tabler.NewTable[RequestID, Forwarded](),
 		PrefillEnd:      tabler.NewTable[EndpointID, time.Time](),
 		BrokenAttempts:  tabler.NewTable[Fingerprint, BrokenAttempts](),
+
+		changedEndpoints: map[EndpointID]struct{}{},
 	}
 }
 
@@ -83,7 +89,9 @@
 // Assign inserts or replaces an assignment and its index entries.
 func (w *World) Assign(a Assignment) {
 	if old, ok := w.Assignments.Get(a.Request.ID); ok {
+		w.Releases++
 		for _, e := range old.Plan.Engines() {
+			w.changedEndpoints[e.ID] = struct{}{}
 			w.ByEndpoint.Remove(e.ID, a.Request.ID)
 		}
 		w.ByNode.Remove(old.Request.Node, a.Request.ID)
@@ -91,7 +99,9 @@
 	w.Assignments.Put(a.Request.ID, a)
 	w.ByNode.Add(a.Request.Node, a.Request.ID)
 	w.ByEndpoint.Add(a.Plan.Endpoint.ID, a.Request.ID)
+	w.changedEndpoints[a.Plan.Endpoint.ID] = struct{}{}
 	for _, h := range a.Plan.Helpers {
+		w.changedEndpoints[h.ID] = struct{}{}
 		if a.FirstEventAt.IsZero() || a.Plan.ReservedOn(h.ID) > 0 {
 			w.ByEndpoint.Add(h.ID, a.Request.ID)
 		}
@@ -105,9 +115,11 @@
 	if !ok {
 		return
 	}
+	w.Releases++
 	w.Assignments.Delete(id)
 	w.ByNode.Remove(a.Request.Node, id)
 	for _, e := range a.Plan.Engines() {
+		w.changedEndpoints[e.ID] = struct{}{}
 		w.ByEndpoint.Remove(e.ID, id)
 		if a.FirstEventAt.IsZero() {
 			w.releasePrefill(e.ID, a.Plan.PartPrefill)
@@ -128,6 +140,18 @@
 	w.PrefillEnd.Put(id, end.Add(-part))
 }
 
+// TakeChangedEndpoints calls visit for each endpoint whose assignments or whose PrefillEnd changed since the last call, in no particular
+// order. The World supports one caller.
+func (w *World) TakeChangedEndpoints(visit func(EndpointID)) {
+	for id := range w.changedEndpoints {
+		visit(id)
+	}
+	clear(w.changedEndpoints)
+	for _, id := range w.PrefillEnd.Changed() {
+		visit(id)
+	}
+}
+
 // HasPrefill reports whether an engine is assigned a prompt, or a part of one, that has not been processed yet.
 func (w *World) HasPrefill(id EndpointID) bool {
 	for _, key := range w.ByEndpoint.Keys(id) {
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -17,7 +17,7 @@
 	// event.
 	onTimeMargin = 1.5
 	// minLongPrefill is the shortest prefill time that counts as long for the limit on late prefills. Prefills that take longer are also
-	// expected to be spread over spreadEngineCount engines when tooLate decides whether a request can still be on time.
+	// expected to be spread over spreadEngineCount engines in typicalTimeToFirstEvent.
 	minLongPrefill = 300 * time.Millisecond
 	// maxLateFraction is the fraction of the engines that late prefills may occupy. Above it, they are placed only if minIdleFraction of the
 	// engines stays idle.
@@ -38,9 +38,8 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// decide returns a decision, or false if the request keeps waiting.
-func (s *System) decide(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting) (modeler.Decision, bool) {
-	request := entry.Request
+// reject returns a refusal that does not depend on the load of endpoints, or false if there is none.
+func reject(now time.Time, world *modeler.World, request modeler.Request) (modeler.Decision, bool) {
 	if !world.Configuration.Loaded() {
 		return refusal(modeler.ReasonNoConfiguration, minRetryAfter), true
 	}
@@ -48,19 +47,27 @@
 	if !ok {
 		return refusal(modeler.ReasonNoEndpoint, maxRetryAfter), true
 	}
-	if brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint); brokenAttempts.Quarantined(tick.Now) {
+	if brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint); brokenAttempts.Quarantined(now) {
 		return refusal(modeler.ReasonQuarantined, maxRetryAfter), true
 	}
 	if service.IsEngine() && service.Engine.Capacity > 0 && request.MaxMemory() > maxRequestSize(service.Engine) {
 		return refusal(modeler.ReasonTooLarge, maxRetryAfter), true
 	}
+	return modeler.Decision{}, false
+}
+
+// decide returns a decision, or false if the request keeps waiting. reject must not apply to the request.
+func (s *System) decide(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting) (modeler.Decision, bool) {
+	s.decisions++
+	request := entry.Request
+	service, _ := world.Configuration.Service(request.Service)
 	candidates := s.candidates(tick, world, service, request)
 	proposal, found := s.propose(tick.Now, service, request, candidates)
-	found = found && mayRunLate(world, proposal.Plan, candidates)
+	found = found && mayRunLate(tick.Now, proposal.Plan, candidates)
 	if found && acceptable(tick.Now, request, service.Engine.PrefillTime(request.Prompt), proposal) && s.acquireCold(tick.Now, world, service, proposal) {
 		return modeler.Decision{Plan: proposal.Plan}, true
 	}
-	if s.waitElapsed(tick.Now, request) {
+	if !tick.Now.Before(waitsUntil(request)) {
 		if found && s.acquireCold(tick.Now, world, service, proposal) {
 			// No better proposal became available, and a late response is worth more than none.
 			return modeler.Decision{Plan: proposal.Plan}, true
@@ -89,9 +96,9 @@
 	return min(max(request.Deadline.Sub(now)/4, minRetryAfter), maxRetryAfter)
 }
 
-func (s *System) waitElapsed(now time.Time, request modeler.Request) bool {
-	total := request.Deadline.Sub(request.Arrived)
-	return now.Sub(request.Arrived) >= time.Duration(maxWaitFraction*float64(total))
+// waitsUntil returns when a request is refused if it still cannot be placed.
+func waitsUntil(request modeler.Request) time.Time {
+	return request.Arrived.Add(time.Duration(maxWaitFraction * float64(request.Deadline.Sub(request.Arrived))))
 }
 
 // acceptable reports whether the proposal is carried out now. If not, a better one may become available before the request is late.
@@ -114,20 +121,17 @@
 
 // mayRunLate reports whether a late plan may be carried out: late prefills may occupy only a fraction of the engines unless enough other
 // engines are idle.
-func mayRunLate(world *modeler.World, plan modeler.Plan, candidates []Candidate) bool {
+func mayRunLate(now time.Time, plan modeler.Plan, candidates []Candidate) bool {
 	if !plan.Late || plan.PartPrefill < minLongPrefill {
 		return true
 	}
 	late, idle := len(plan.Engines()), 0
-	for _, c := range candidates {
-		if c.Load.Running == 0 && c.Load.Backlog == 0 {
+	for i := range candidates {
+		if candidates[i].Load.Idle(now) {
 			idle++
 		}
-		for _, id := range world.ByEndpoint.Keys(c.Endpoint.ID) {
-			if a, _ := world.Assignments.Get(id); a.Plan.Late && a.Plan.PartPrefill >= minLongPrefill && a.FirstEventAt.IsZero() {
-				late++
-				break
-			}
+		if candidates[i].Load.LatePrefill {
+			late++
 		}
 	}
 	return float64(late) <= maxLateFraction*float64(len(candidates)) || float64(idle-len(plan.Engines())) >= minIdleFraction*float64(len(candidates))
@@ -151,10 +155,13 @@
 }
 
 // candidates returns the endpoints that may get the request, or a random sample of maxCandidates if there are more. Endpoints in their
-// back-off are included only if there is no other.
+// back-off are included only if there is no other. The result is valid until the next call.
 func (s *System) candidates(tick *modeler.Tick, world *modeler.World, service modeler.Service, request modeler.Request) []Candidate {
 	now := tick.Now
-	var eligible, avoided []modeler.Endpoint
+	s.loads.refresh(world)
+	coldLimit := s.coldLimit(world, service)
+	eligible := s.candidateList[:0]
+	var avoided []Candidate
 	for id, endpoint := range world.Endpoints.Scattered(tick.Rand.IntN(max(world.Endpoints.Len(), 1))) {
 		if len(eligible) == maxCandidates {
 			break
@@ -162,28 +169,27 @@
 		if endpoint.Service != service.ID || !s.acceptsRequests(now, world, endpoint) || contains(request.Tried, id) {
 			continue
 		}
-		if !s.cold.allows(now, endpoint, s.coldLimit(world, service)) {
+		if !s.cold.allows(now, endpoint, coldLimit) {
 			continue
 		}
-		if health, _ := world.Health.Get(id); now.Before(health.AvoidUntil) {
-			avoided = append(avoided, endpoint)
+		health, _ := world.Health.Get(id)
+		candidate := Candidate{
+			Endpoint: endpoint, Load: s.loads.get(world, id, service.Engine, now), FailureRate: health.FailureRate(now),
+			SameDataCentre: endpoint.DataCentre == request.DataCentre,
+		}
+		if now.Before(health.AvoidUntil) {
+			if len(avoided) < maxCandidates {
+				avoided = append(avoided, candidate)
+			}
 			continue
 		}
-		eligible = append(eligible, endpoint)
+		eligible = append(eligible, candidate)
 	}
+	s.candidateList = eligible
 	if len(eligible) == 0 {
-		eligible = avoided
-	}
-	eligible = eligible[:min(len(eligible), maxCandidates)]
-	candidates := make([]Candidate, 0, len(eligible))
-	for _, endpoint := range eligible {
-		health, _ := world.Health.Get(endpoint.ID)
-		candidates = append(candidates, Candidate{
-			Endpoint: endpoint, Load: loadOf(world, endpoint.ID, service.Engine, now), FailureRate: health.FailureRate(now),
-			SameDataCentre: endpoint.DataCentre == request.DataCentre,
-		})
+		return avoided
 	}
-	return candidates
+	return eligible
 }
 
 func contains(list []modeler.EndpointID, id modeler.EndpointID) bool {
--- a/internal/fleet/placer/load.go
+++ b/internal/fleet/placer/load.go
@@ -1,34 +1,61 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
+	"damaskpick.example/damaskpick/internal/control/tabler"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
-// Load is the load of one endpoint as far as this node knows it.
+// Load is the load of one endpoint as far as this node knows it. Its times are absolute, so that it stays valid until an assignment of the
+// endpoint changes.
 type Load struct {
 	// Running is the number of requests that occupy a slot.
 	Running int
 	Memory  modeler.Tokens
-	// Backlog is the remaining prefill time.
-	Backlog time.Duration
+	// BusyUntil is when the prefill work that is assigned to the engine ends. It may be in the past.
+	BusyUntil time.Time
 	// Pass is the time of one engine pass without prefill, or zero if no request decodes.
-	Pass       time.Duration
-	decoding   []decodingRequest
+	Pass time.Duration
+	// LatePrefill is set if the engine processes a long prompt that is expected to be late, or a part of one.
+	LatePrefill bool
+	// decoding has one row per gap target. It must not be modified.
+	decoding []decodingRequests
+	// prefilling must not be modified.
 	prefilling []prefillingRequest
 }
 
-// decodingRequest is a request whose output is being generated. gap is its gap target.
-type decodingRequest struct {
-	gap    time.Duration
+// Backlog returns the remaining prefill time.
+func (l Load) Backlog(now time.Time) time.Duration { return max(0, l.BusyUntil.Sub(now)) }
+
+// Idle reports whether the endpoint has no work.
+func (l Load) Idle(now time.Time) bool { return l.Running == 0 && l.Backlog(now) == 0 }
+
+// decodingRequests are the requests with the same gap target whose output is being generated.
+type decodingRequests struct {
+	gap time.Duration
+	// weight is the sum of the weights of the requests.
 	weight float64
 }
 
+// withDecoding returns the load with one more request whose output is being generated.
+func (l Load) withDecoding(gap time.Duration, weight float64) Load {
+	l.decoding = slices.Clone(l.decoding)
+	for i, d := range l.decoding {
+		if d.gap == gap {
+			l.decoding[i].weight += weight
+			return l
+		}
+	}
+	l.decoding = append(l.decoding, decodingRequests{gap: gap, weight: weight})
+	return l
+}
+
 // prefillingRequest is a request that waits for its first event.
 type prefillingRequest struct {
-	// first is the expected time until the first event; due is the time until that event is late.
-	first, due time.Duration
+	// first is when the first event is expected; due is when that event is late.
+	first, due time.Time
 	weight     float64
 }
 
@@ -38,29 +65,61 @@
 	return (1 + float64(request.Prompt)/tokensPerUnit) * max(request.WeightFactor, 1)
 }
 
-// loadOf sums up the assignments of an endpoint. A node that does not coordinate knows only its own assignments. It uses the
-// coordinator's last digest as a lower bound, and adds a decoding request with the digest's smallest gap target.
-func loadOf(world *modeler.World, endpoint modeler.EndpointID, profile modeler.EngineProfile, now time.Time) Load {
-	var load Load
-	if busy, ok := world.PrefillEnd.Get(endpoint); ok && busy.After(now) {
-		load.Backlog = busy.Sub(now)
+// loadTable keeps the loads of endpoints between ticks and computes a load again only after an assignment of the endpoint has changed.
+type loadTable struct {
+	rows *tabler.Table[modeler.EndpointID, Load]
+	// configuration is the offset of the configuration whose engine profiles were used.
+	configuration int64
+}
+
+func newLoadTable() *loadTable {
+	return &loadTable{rows: tabler.NewTable[modeler.EndpointID, Load]()}
+}
+
+// refresh deletes the rows that changes in world have made invalid. It is called before the first get of a tick and after each change of an
+// assignment.
+func (t *loadTable) refresh(world *modeler.World) {
+	if t.configuration != world.Configuration.Offset {
+		t.rows, t.configuration = tabler.NewTable[modeler.EndpointID, Load](), world.Configuration.Offset
 	}
+	world.TakeChangedEndpoints(func(id modeler.EndpointID) { t.rows.Delete(id) })
+}
+
+// get returns the load of an endpoint. The load of a node that does not coordinate includes the coordinator's last digest.
+func (t *loadTable) get(world *modeler.World, endpoint modeler.EndpointID, profile modeler.EngineProfile, now time.Time) Load {
+	load, ok := t.rows.Get(endpoint)
+	if !ok {
+		load = loadOf(world, endpoint, profile)
+		t.rows.Put(endpoint, load)
+	}
+	if !world.Coordinates() {
+		load = load.withDigest(world, endpoint, profile, now)
+	}
+	return load
+}
+
+// loadOf sums up the assignments of an endpoint. A node that does not coordinate knows only its own assignments.
+func loadOf(world *modeler.World, endpoint modeler.EndpointID, profile modeler.EngineProfile) Load {
+	var load Load
+	load.BusyUntil, _ = world.PrefillEnd.Get(endpoint)
 	for _, id := range world.ByEndpoint.Keys(endpoint) {
 		a, _ := world.Assignments.Get(id)
+		weight := requestWeight(a.Request)
 		if a.FirstEventAt.IsZero() {
-			first := a.Plan.TimeToFirstEvent - now.Sub(a.Placed)
-			if a.Plan.Endpoint.ID == endpoint {
+			load.LatePrefill = load.LatePrefill || a.Plan.Late && a.Plan.PartPrefill >= minLongPrefill
+			first := a.Placed.Add(a.Plan.TimeToFirstEvent)
+			if a.Plan.Endpoint.ID == endpoint && load.BusyUntil.After(first) {
 				// Parts of other prompts, even if they arrive later, are processed before this prompt.
-				first = max(first, load.Backlog)
+				first = load.BusyUntil
 			}
-			load.prefilling = append(load.prefilling, prefillingRequest{first: first, due: a.Request.Due.Sub(now), weight: requestWeight(a.Request)})
+			load.prefilling = append(load.prefilling, prefillingRequest{first: first, due: a.Request.Due, weight: weight})
 		}
 		decodes := !a.FirstEventAt.IsZero() && profile.PrefillRate > 0
 		if a.Plan.Endpoint.ID != endpoint {
 			reserved := a.Plan.ReservedOn(endpoint)
 			load.Memory += reserved
 			if decodes && reserved > 0 {
-				load.decoding = append(load.decoding, decodingRequest{gap: a.Request.Gap, weight: requestWeight(a.Request)})
+				load = load.withDecoding(a.Request.Gap, weight)
 				load.Pass += profile.SequencePassTime(reserved)
 			}
 			continue
@@ -68,13 +127,10 @@
 		load.Running++
 		load.Memory += a.Request.MaxMemory() - a.Plan.ReservedOnHelpers()
 		if decodes {
-			load.decoding = append(load.decoding, decodingRequest{gap: a.Request.Gap, weight: requestWeight(a.Request)})
+			load = load.withDecoding(a.Request.Gap, weight)
 			load.Pass += profile.SequencePassTime(a.Request.Prompt - a.Plan.ReservedOnHelpers())
 		}
 	}
-	if !world.Coordinates() {
-		load = load.withDigest(world, endpoint, now)
-	}
 	if len(load.decoding) > 0 {
 		load.Pass += profile.BasePassTime()
 	}
@@ -85,17 +141,23 @@
 // current load.
 const maxDigestAge = 3 * time.Second
 
-func (l Load) withDigest(world *modeler.World, endpoint modeler.EndpointID, now time.Time) Load {
+// withDigest returns the load with the coordinator's last digest as a lower bound, and with a decoding request that has the digest's smallest
+// gap target.
+func (l Load) withDigest(world *modeler.World, endpoint modeler.EndpointID, profile modeler.EngineProfile, now time.Time) Load {
 	summary, ok := world.Loads[endpoint]
-	age := now.Sub(world.LoadsAt)
-	if !ok || age > maxDigestAge {
+	if !ok || now.Sub(world.LoadsAt) > maxDigestAge {
 		return l
 	}
 	l.Running = max(l.Running, summary.Running)
 	l.Memory = max(l.Memory, summary.Memory)
-	l.Backlog = max(l.Backlog, summary.Backlog-age)
+	if busyUntil := world.LoadsAt.Add(summary.Backlog); busyUntil.After(l.BusyUntil) {
+		l.BusyUntil = busyUntil
+	}
 	if summary.Gap > 0 {
-		l.decoding = append(l.decoding, decodingRequest{gap: summary.Gap, weight: 1})
+		if len(l.decoding) == 0 {
+			l.Pass += profile.BasePassTime()
+		}
+		l = l.withDecoding(summary.Gap, 1)
 	}
 	return l
 }
@@ -105,11 +167,11 @@
 	loads := make(map[modeler.EndpointID]modeler.LoadSummary, world.Endpoints.Len())
 	for id, endpoint := range world.Endpoints.All() {
 		service, _ := world.Configuration.Service(endpoint.Service)
-		load := loadOf(world, id, service.Engine, now)
-		if load.Running == 0 && load.Backlog == 0 {
+		load := loadOf(world, id, service.Engine)
+		if load.Idle(now) {
 			continue
 		}
-		summary := modeler.LoadSummary{Running: load.Running, Memory: load.Memory, Backlog: load.Backlog}
+		summary := modeler.LoadSummary{Running: load.Running, Memory: load.Memory, Backlog: load.Backlog(now)}
 		for _, d := range load.decoding {
 			if summary.Gap == 0 || d.gap < summary.Gap {
 				summary.Gap = d.gap
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -4,7 +4,6 @@
 package placer
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -47,15 +46,22 @@
 
 // System places requests.
 type System struct {
-	options   Options
-	cold      coldLimiter
-	onTime    onTimeRates
-	nextSweep time.Time
+	options Options
+	cold    coldLimiter
+	onTime  onTimeRates
+	loads   *loadTable
+	queue   *queue
+	// coordinator is the coordinator of the last tick. nextForwarded is when the next forwarded request is due to be asked for again.
+	coordinator              modeler.NodeID
+	nextForwarded, nextSweep time.Time
+	// candidateList is reused by all decisions, which decisions counts.
+	candidateList []Candidate
+	decisions     int
 }
 
 // New returns the system.
 func New(options Options) *System {
-	return &System{options: options, cold: newColdLimiter(), onTime: newOnTimeRates()}
+	return &System{options: options, cold: newColdLimiter(), onTime: newOnTimeRates(), loads: newLoadTable(), queue: newQueue()}
 }
 
 // Run implements modeler.System.
@@ -82,13 +88,27 @@
 	coordinator, ok := world.Nodes.Get(world.Coordinator)
 	service, known := world.Configuration.Service(request.Service)
 	if !ok || world.CoordinatorUnresponsive || !known || !service.IsEngine() {
-		world.Waiting.Put(request.ID, modeler.Waiting{Request: request, Since: tick.Now})
+		s.wait(world, modeler.Waiting{Request: request, Since: tick.Now})
 		return
 	}
 	world.Forwarded.Put(request.ID, modeler.Forwarded{Request: request, AskedAt: tick.Now, AnsweredAt: tick.Now})
+	s.nextForwarded = earlier(s.nextForwarded, tick.Now.Add(askInterval))
 	s.send(tick, world, coordinator, modeler.Ask{Request: request})
 }
 
+// wait queues a request for placement by this node.
+func (s *System) wait(world *modeler.World, entry modeler.Waiting) {
+	world.Waiting.Put(entry.Request.ID, entry)
+	s.queue.add(newQueueKey(world, entry.Request))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (s *System) handlePlacementCancelled(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) {
 	world.Waiting.Delete(id)
 	if _, ok := world.Forwarded.Get(id); ok {
@@ -141,7 +161,7 @@
 		return
 	}
 	if _, ok := world.Waiting.Get(request.ID); !ok {
-		world.Waiting.Put(request.ID, modeler.Waiting{Request: request, Since: tick.Now})
+		s.wait(world, modeler.Waiting{Request: request, Since: tick.Now})
 		return
 	}
 	s.send(tick, world, peer, modeler.Queued{ID: request.ID})
@@ -164,7 +184,7 @@
 		plan, ok := s.resolve(tick.Now, world, decision.Plan)
 		if !ok {
 			// This node and the coordinator have read the store up to different offsets.
-			world.Waiting.Put(body.ID, modeler.Waiting{Request: entry.Request, Since: tick.Now})
+			s.wait(world, modeler.Waiting{Request: entry.Request, Since: tick.Now})
 			return
 		}
 		decision.Plan = plan
@@ -212,17 +232,31 @@
 	}
 }
 
-// retryForwarded repeats Asks, and queues requests for local placement if the coordinator has not responded in time.
+// retryForwarded repeats Asks, and queues requests for local placement if the coordinator has not responded in time. A new coordinator is
+// asked for all of them at once.
 func (s *System) retryForwarded(tick *modeler.Tick, world *modeler.World) {
+	changed := world.Coordinator != s.coordinator
+	s.coordinator = world.Coordinator
+	if world.Forwarded.Len() == 0 {
+		return
+	}
+	if !changed && tick.Now.Before(s.nextForwarded) {
+		tick.WakeAt(s.nextForwarded)
+		return
+	}
 	coordinator, ok := world.Nodes.Get(world.Coordinator)
+	s.nextForwarded = tick.Now.Add(queuedInterval)
 	for id, entry := range world.Forwarded.All() {
+		if changed && entry.AskedAt.Before(tick.Now) {
+			entry = modeler.Forwarded{Request: entry.Request, AnsweredAt: tick.Now}
+		}
 		timeout, interval := askTimeout, askInterval
 		if entry.Queued {
 			timeout, interval = queuedTimeout, queuedInterval
 		}
 		if !ok || tick.Now.Sub(entry.AnsweredAt) >= timeout {
 			world.Forwarded.Delete(id)
-			world.Waiting.Put(id, modeler.Waiting{Request: entry.Request, Since: tick.Now})
+			s.wait(world, modeler.Waiting{Request: entry.Request, Since: tick.Now})
 			if ok && !world.CoordinatorUnresponsive {
 				world.CoordinatorUnresponsive = true
 				tick.Emit(modeler.LogEvent{Name: modeler.LogEventCoordinatorDoubted, Request: id, Fields: []modeler.LogField{
@@ -236,48 +270,91 @@
 			world.Forwarded.Put(id, entry)
 			s.send(tick, world, coordinator, modeler.Ask{Request: entry.Request})
 		}
-		tick.WakeAt(entry.AskedAt.Add(interval))
+		s.nextForwarded = earlier(s.nextForwarded, entry.AskedAt.Add(interval))
+	}
+	tick.WakeAt(s.nextForwarded)
+}
+
+// capacity returns the revision of everything that may free capacity.
+func (s *System) capacity(world *modeler.World) capacityRevision {
+	return capacityRevision{
+		releases: world.Releases, endpoints: world.Endpoints.Revision(), outDataCentres: world.OutDataCentres.Revision(),
+		configuration: world.Configuration.Offset,
 	}
 }
 
-// placeWaiting tries to place all waiting requests, the most urgent first; see compareRequests.
+// placeWaiting tries to place the requests that are due, the most urgent first. Of each group that needs the same, it stops at the first
+// request that has to wait longer.
 func (s *System) placeWaiting(tick *modeler.Tick, world *modeler.World) {
 	if world.Waiting.Len() == 0 {
 		return
 	}
-	queue := make([]modeler.Waiting, 0, world.Waiting.Len())
-	for _, entry := range world.Waiting.All() {
-		queue = append(queue, entry)
-	}
-	slices.SortStableFunc(queue, func(a, b modeler.Waiting) int { return s.compareRequests(tick.Now, world, a.Request, b.Request) })
-	for _, entry := range queue {
-		entry.Request = entry.Request.WithWeightFactor(s.onTime.weightFactor(entry.Request))
-		decision, decided := s.decide(tick, world, entry)
-		if !decided {
-			if entry.Request.Node != world.Self.ID && entry.Since.Equal(tick.Now) {
-				if peer, ok := world.Nodes.Get(entry.Request.Node); ok {
-					s.send(tick, world, peer, modeler.Queued{ID: entry.Request.ID})
-				}
-			}
-			tick.WakeAt(tick.Now.Add(retryInterval))
+	arrived := s.queue.takeArrived()
+	for _, key := range arrived {
+		s.rejectWaiting(tick, world, key.id)
+	}
+	waits := func(id modeler.RequestID) bool {
+		_, ok := world.Waiting.Get(id)
+		return ok
+	}
+	decisions := 0
+	for _, key := range s.queue.due(tick.Now, s.capacity(world), arrived, waits) {
+		if s.queue.skips(tick.Now, key) || s.rejectWaiting(tick, world, key.id) {
 			continue
 		}
-		world.Waiting.Delete(entry.Request.ID)
-		s.sendDecision(tick, world, entry, decision)
+		if decisions++; decisions > maxDecisions {
+			s.queue.unfinished = true
+			break
+		}
+		s.decideWaiting(tick, world, key)
+	}
+	for _, key := range arrived {
+		s.reportQueued(tick, world, key.id)
+	}
+	if world.Waiting.Len() > 0 {
+		tick.WakeAt(s.queue.wake(s.capacity(world)))
 	}
 }
 
-// compareRequests orders requests by whether they can still be on time, then by priority, then by due time. Late requests come last because
-// placing one first could make another request late, too.
-func (s *System) compareRequests(now time.Time, world *modeler.World, a, b modeler.Request) int {
-	lateA, lateB := tooLate(now, world, a), tooLate(now, world, b)
-	if lateA != lateB {
-		if lateA {
-			return 1
-		}
-		return -1
+// rejectWaiting ends a waiting request that is refused whatever the load is. It reports whether the request no longer waits.
+func (s *System) rejectWaiting(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) bool {
+	entry, ok := world.Waiting.Get(id)
+	if !ok {
+		return true
+	}
+	decision, rejected := reject(tick.Now, world, entry.Request)
+	if rejected {
+		s.endWaiting(tick, world, entry, decision)
+	}
+	return rejected
+}
+
+// decideWaiting decides on a waiting request and blocks its group if it has to wait longer.
+func (s *System) decideWaiting(tick *modeler.Tick, world *modeler.World, key queueKey) {
+	entry, _ := world.Waiting.Get(key.id)
+	entry.Request = entry.Request.WithWeightFactor(s.onTime.weightFactor(entry.Request))
+	decision, decided := s.decide(tick, world, entry)
+	if !decided {
+		s.queue.blocked[key.group] = true
+		return
+	}
+	s.endWaiting(tick, world, entry, decision)
+}
+
+func (s *System) endWaiting(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting, decision modeler.Decision) {
+	world.Waiting.Delete(entry.Request.ID)
+	s.sendDecision(tick, world, entry, decision)
+}
+
+// reportQueued informs the node of a request that has just arrived and has to wait.
+func (s *System) reportQueued(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) {
+	entry, ok := world.Waiting.Get(id)
+	if !ok || entry.Request.Node == world.Self.ID {
+		return
+	}
+	if peer, ok := world.Nodes.Get(entry.Request.Node); ok {
+		s.send(tick, world, peer, modeler.Queued{ID: id})
 	}
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Due.Compare(b.Due))
 }
 
 const (
@@ -288,18 +365,17 @@
 	estimateMargin = 60 * time.Millisecond
 )
 
-// tooLate reports whether a request would be late on an engine with typical load.
-func tooLate(now time.Time, world *modeler.World, request modeler.Request) bool {
-	left := request.Due.Sub(now)
+// typicalTimeToFirstEvent returns the time to the first event of a request on an engine with typical load; zero for plain services.
+func typicalTimeToFirstEvent(world *modeler.World, request modeler.Request) time.Duration {
 	service, ok := world.Configuration.Service(request.Service)
 	if !ok || !service.IsEngine() {
-		return left <= 0
+		return 0
 	}
 	prefill := service.Engine.PrefillTime(request.Prompt)
 	if prefill > minLongPrefill {
 		prefill /= spreadEngineCount
 	}
-	return left < prefill+typicalPasses*service.Engine.BasePassTime()+estimateMargin
+	return prefill + typicalPasses*service.Engine.BasePassTime() + estimateMargin
 }
 
 func (s *System) sendDecision(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting, decision modeler.Decision) {
--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -148,6 +147,25 @@
 	return e.interference + e.risk + doneCostPerSecond*e.doneAfter.Seconds()
 }
 
+// selection holds the best evaluations that may hold a part, in ascending order of their scores.
+type selection []evaluation
+
+// with returns the selection with an evaluation added if it is among the best limit ones. It reuses the array of s.
+func (s selection) with(e evaluation, limit int) selection {
+	score := e.score()
+	if len(s) >= limit {
+		if score >= s[len(s)-1].score() {
+			return s
+		}
+		s = s[:len(s)-1]
+	}
+	at := len(s)
+	for at > 0 && score < s[at-1].score() {
+		at--
+	}
+	return slices.Insert(s, at, e)
+}
+
 // Propose implements Policy.
 func (p LengthAware) Propose(now time.Time, request modeler.Request, candidates []Candidate) (Proposal, bool) {
 	prefill := p.Profile.PrefillTime(request.Prompt)
@@ -178,30 +196,29 @@
 
 func (p LengthAware) propose(now time.Time, request modeler.Request, candidates []Candidate, engines int, partPrefill time.Duration) (Proposal, bool) {
 	reservedPerHelper := p.reservedPerHelper(request, engines)
-	evaluations := make([]evaluation, 0, len(candidates))
-	for i, c := range candidates {
-		evaluations = append(evaluations, p.evaluate(request, c, i, partPrefill, reservedPerHelper, engines))
-	}
-	slices.SortFunc(evaluations, func(a, b evaluation) int {
-		return cmp.Or(cmp.Compare(a.score(), b.score()), cmp.Compare(a.index, b.index))
-	})
-	primary := -1
-	for i, e := range evaluations {
-		if e.canRun && (primary < 0 || e.score()+e.decodeCost < evaluations[primary].score()+evaluations[primary].decodeCost) {
-			primary = i
+	var chosen evaluation
+	found := false
+	// One more than the helpers, because the chosen engine may be among them.
+	helpers := make(selection, 0, engines+1)
+	for i := range candidates {
+		e := p.evaluate(now, request, &candidates[i], i, partPrefill, reservedPerHelper, engines)
+		if e.canRun && (!found || e.score()+e.decodeCost < chosen.score()+chosen.decodeCost) {
+			chosen, found = e, true
+		}
+		if engines > 1 && e.canReserve {
+			helpers = helpers.with(e, engines)
 		}
 	}
-	if primary < 0 {
+	if !found {
 		return Proposal{}, false
 	}
-	chosen := evaluations[primary]
 	proposal := Proposal{Interference: chosen.interference, OtherCost: chosen.risk + chosen.decodeCost, Plan: modeler.Plan{Endpoint: candidates[chosen.index].Endpoint, PartPrefill: partPrefill}}
 	doneAfter := chosen.doneAfter
-	for i, e := range evaluations {
+	for _, e := range helpers {
 		if len(proposal.Plan.Helpers) == engines-1 {
 			break
 		}
-		if i == primary || !e.canReserve {
+		if e.index == chosen.index {
 			continue
 		}
 		if reservedPerHelper > 0 {
@@ -212,7 +229,7 @@
 		proposal.OtherCost += e.risk + helperCost
 		doneAfter = max(doneAfter, e.doneAfter)
 	}
-	if reservedPerHelper > 0 && len(proposal.Plan.Helpers) < engines-1 {
+	if len(proposal.Plan.Helpers) < engines-1 {
 		return Proposal{}, false
 	}
 	proposal.Plan.TimeToFirstEvent = doneAfter + networkDelay
@@ -223,14 +240,15 @@
 
 // evaluate estimates the cost of assigning a part of the prefill to a candidate, and when the part would be done.
 func (p LengthAware) evaluate(
-	request modeler.Request, c Candidate, index int, partPrefill time.Duration, reservedPerHelper modeler.Tokens, engines int,
+	now time.Time, request modeler.Request, c *Candidate, index int, partPrefill time.Duration, reservedPerHelper modeler.Tokens, engines int,
 ) evaluation {
-	load := c.Load
+	load := &c.Load
+	backlog := load.Backlog(now)
 	e := evaluation{index: index}
 	ownMemory := request.MaxMemory() - reservedPerHelper*modeler.Tokens(engines-1)
 	e.canRun = load.Running < c.Endpoint.Slots && (p.Profile.Capacity == 0 || load.Memory+ownMemory <= p.Profile.Capacity)
 	e.canReserve = p.Profile.Capacity == 0 || load.Memory+reservedPerHelper <= p.Profile.Capacity
-	before := load.Pass + load.Backlog
+	before := load.Pass + backlog
 	after := before + partPrefill
 	shortestGap := time.Duration(0)
 	for _, d := range load.decoding {
@@ -240,10 +258,11 @@
 		}
 	}
 	for _, waiting := range load.prefilling {
-		e.interference += waiting.weight * max(0, lossFraction(waiting.first+partDelayFactor*partPrefill, waiting.due)-lossFraction(waiting.first, waiting.due))
+		first, due := waiting.first.Sub(now), waiting.due.Sub(now)
+		e.interference += waiting.weight * max(0, lossFraction(first+partDelayFactor*partPrefill, due)-lossFraction(first, due))
 	}
 	// The current pass ends before the part begins, and the first event comes at the end of the pass that finishes the part.
-	e.doneAfter = load.Pass/2 + load.Backlog + partPrefill + load.Pass
+	e.doneAfter = load.Pass/2 + backlog + partPrefill + load.Pass
 	if load.Pass == 0 {
 		e.doneAfter += p.Profile.Step
 	}
--- a/internal/fleet/placer/policy_test.go
+++ b/internal/fleet/placer/policy_test.go
@@ -38,7 +38,7 @@
 func decodingLoad(n int) Load {
 	load := Load{Running: n, Memory: modeler.Tokens(n) * 6300}
 	for range n {
-		load.decoding = append(load.decoding, decodingRequest{gap: 250 * time.Millisecond, weight: 1.5})
+		load = load.withDecoding(250*time.Millisecond, 1.5)
 		load.Pass += profile.SequencePassTime(5000)
 	}
 	if n > 0 {
@@ -58,7 +58,7 @@
 // TestLengthAware guards against short requests on engines that prefill long prompts, long prefills on engines that decode short requests,
 // and short requests that occupy engines needed for long prefills.
 func TestLengthAware(t *testing.T) {
-	busy := Load{Backlog: 2 * time.Second, prefilling: []prefillingRequest{{first: 2 * time.Second, due: 3 * time.Second, weight: 20}}}
+	busy := Load{BusyUntil: start.Add(2 * time.Second), prefilling: []prefillingRequest{{first: start.Add(2 * time.Second), due: start.Add(3 * time.Second), weight: 20}}}
 	full := decodingLoad(16)
 	tests := []struct {
 		name    string
@@ -134,7 +134,7 @@
 		for i := range engines {
 			load := decodingLoad(rapid.IntRange(0, 18).Draw(t, "writers"))
 			load.Memory = modeler.Tokens(rapid.IntRange(0, 405_000).Draw(t, "memory"))
-			load.Backlog = time.Duration(rapid.IntRange(0, 5000).Draw(t, "backlog ms")) * time.Millisecond
+			load.BusyUntil = start.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "backlog ms")) * time.Millisecond)
 			list = append(list, Candidate{Endpoint: modeler.Endpoint{ID: modeler.EndpointID(fmt.Sprintf("e%02d", i)), Slots: 16}, Load: load})
 		}
 		request := long(modeler.Tokens(rapid.IntRange(1, 400_000).Draw(t, "prompt")))
