--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -23,6 +23,13 @@
 	maxForeignResponses = 2
 	// maxForeignBytes bounds the bytes that are read of the body of such a response.
 	maxForeignBytes = 1 << 20
+	// maxHeaderBytes bounds the header of a response, and maxInterimResponses the interim responses before it. A faulty endpoint may send bytes
+	// without end.
+	maxHeaderBytes      = 64 << 10
+	maxInterimResponses = 16
+	// maxDrainedBytes and drainTimeout bound the reading of a response that nobody needs.
+	maxDrainedBytes = 64 << 10
+	drainTimeout    = 100 * time.Millisecond
 )
 
 // Outgoing is a request to an endpoint.
@@ -46,6 +53,9 @@
 	stopWatching func() bool
 }
 
+// errHeaderTooLong is returned when the header of a response does not end within maxHeaderBytes.
+var errHeaderTooLong = errors.New("response header is too long")
+
 // ErrForeignResponse is returned when only responses to other requests were received on the connection.
 var ErrForeignResponse = errors.New("received only responses to other requests")
 
@@ -118,13 +128,18 @@
 	if err := x.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
 	}
-	for foreign := 0; ; {
+	defer x.conn.source.unlimit()
+	for foreign, interim := 0, 0; ; {
+		x.conn.source.limit(maxHeaderBytes)
 		// Closing the body would wait for the rest of a stream. Exchange.Close closes the connection instead.
 		response, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: method}) //nolint:bodyclose // See above.
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimResponses {
+				return nil, errHeaderTooLong
+			}
 			continue
 		}
 		if own(response.Header) {
@@ -134,12 +149,23 @@
 		if foreign++; foreign > maxForeignResponses {
 			return nil, ErrForeignResponse
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes)); err != nil {
+		x.conn.source.limit(maxForeignBytes)
+		if n, err := io.Copy(io.Discard, response.Body); err != nil || n >= maxForeignBytes {
 			return nil, ErrForeignResponse
 		}
 	}
 }
 
+// Drain reads a response that nobody needs to its end, so that the connection can be reused. It reports whether the end was reached within
+// maxDrainedBytes and drainTimeout; a longer response is not worth the connection.
+func (x *Exchange) Drain(response *Response) bool {
+	if err := x.conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBytes))
+	return err == nil && n < maxDrainedBytes
+}
+
 // Abort closes the connection at once. It may be called while another goroutine reads the response; the read then fails.
 func (x *Exchange) Abort() { x.conn.discard() }
 
--- a/internal/fleet/dialer/pool.go
+++ b/internal/fleet/dialer/pool.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -67,6 +69,8 @@
 type Conn struct {
 	net.Conn
 	Reader *bufio.Reader
+	// source is what Reader reads from.
+	source *limitedReader
 	// Reused is set if the connection was idle in the pool before.
 	Reused  bool
 	address string
@@ -101,7 +105,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferSize), address: address}, nil
+	source := &limitedReader{reader: conn, left: math.MaxInt64}
+	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(source, readBufferSize), source: source, address: address}, nil
+}
+
+// limitedReader fails with errHeaderTooLong after a number of bytes. It is used by one goroutine at a time.
+type limitedReader struct {
+	reader io.Reader
+	// left is the number of bytes that may still be read.
+	left int64
+}
+
+func (r *limitedReader) limit(bytes int64) { r.left = bytes }
+
+func (r *limitedReader) unlimit() { r.left = math.MaxInt64 }
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
 }
 
 // Dialed returns the number of connections that were dialed, including failed ones.
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -74,7 +74,7 @@
 	}
 	fields := f.Protocol.ResponseFields(response.StatusCode, response.Header)
 	if fields.NotRun {
-		complete = drain(response)
+		complete = exchange.Drain(response)
 		p.faultyHelper = findHelper(plan, fields.FaultyEngine)
 		if fields.Misdirected && p.faultyHelper == "" {
 			return modeler.Misdirected
@@ -89,7 +89,7 @@
 		// The caller has received part of the stream from another engine. Forwarding this failure would end the stream as if it were
 		// complete.
 		f.countPossibleRun(p)
-		complete = drain(response)
+		complete = exchange.Drain(response)
 		return modeler.Failed
 	}
 	if p.call.Route.Kind == modeler.Stream && response.StatusCode < 300 {
@@ -110,12 +110,6 @@
 	return ""
 }
 
-// drain reads an answer to its end, so that the connection can be reused, and reports whether the end was reached within maxAnswerBytes.
-func drain(response *dialer.Response) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
-	return err == nil && n < maxAnswerBytes
-}
-
 // countPossibleRun counts an attempt in which the endpoint may have run the request. It also records that the answer was not forwarded.
 func (f *Forwarder) countPossibleRun(p *progress) {
 	p.possibleRuns++
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -122,6 +122,9 @@
 	maxAttempts = 8
 	// minAttemptTime is the shortest time before the deadline in which another attempt may succeed.
 	minAttemptTime = 20 * time.Millisecond
+	// resumeInterval is the time between two searches for an engine that resumes a stream. A refusal may come at once, for example if the service
+	// has left the configuration.
+	resumeInterval = 50 * time.Millisecond
 	// minResumeTime is the same limit for resuming a stream. It is longer because an engine has to process the prompt again.
 	minResumeTime = 150 * time.Millisecond
 )
@@ -158,7 +161,7 @@
 // Serve forwards a call and returns how it ended. The front end has to answer the caller itself, unless the result has HeaderSent set or
 // the status Left.
 func (f *Forwarder) Serve(ctx context.Context, call Call, sink Sink) Result {
-	p := &progress{call: call, deadline: f.deadline(call), lastEventID: call.Fields.LastEvent}
+	p := &progress{call: call, deadline: Deadline(call), lastEventID: call.Fields.LastEvent}
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
 	f.Budget.AddRequest(call.Service.ID)
@@ -178,6 +181,9 @@
 		}
 		if decision.Temporary() && p.headerSent && time.Until(f.callerDeadline(p)) > minResumeTime {
 			// A stream whose header was sent can no longer be refused with a Retry-After.
+			if !wait(ctx, resumeInterval) {
+				return
+			}
 			continue
 		}
 		if decision.Refused {
@@ -209,6 +215,18 @@
 	}
 }
 
+// wait returns true after a delay, or false when ctx ends before.
+func wait(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // place returns the decision for the next attempt: the one that the guard found during the last attempt, or a new one.
 func (f *Forwarder) place(ctx context.Context, p *progress) (modeler.Decision, error) {
 	if nextDecision := p.nextDecision; nextDecision != nil {
@@ -231,8 +249,8 @@
 	return p.deadline
 }
 
-// deadline returns the deadline of a call from the shorter of the route's and the caller's timeout.
-func (f *Forwarder) deadline(call Call) time.Time {
+// Deadline returns the deadline of a call from the shorter of the route's and the caller's timeout.
+func Deadline(call Call) time.Time {
 	limit := call.Route.Timeout
 	if call.Fields.Timeout > 0 && (limit <= 0 || call.Fields.Timeout < limit) {
 		limit = call.Fields.Timeout
--- a/internal/fleet/forwarder/retry_test.go
+++ b/internal/fleet/forwarder/retry_test.go
@@ -103,3 +103,34 @@
 	assert.Equal(t, result.Attempts, 6)
 	assert.Equal(t, len(f.first.Runs()), 1)
 }
+
+// TestResumeSearchIsPaced guards against a stream that asks for a placement in each tick once nothing can serve its rest.
+func TestResumeSearchIsPaced(t *testing.T) {
+	f := newFixture(t, 100)
+	f.first.SetFault(platformtest.EndpointFault{CutAfter: 2})
+	f.control.refusals, f.control.refusal = 1<<30, modeler.Decision{Reason: modeler.ReasonNoEndpoint}
+	result := f.forward.Serve(t.Context(), call(modeler.Stream, "/stream/1"), &sink{})
+	assert.Equal(t, result.Status, forwarder.Interrupted)
+	assert.Assert(t, len(f.control.requests) <= 100, "%d placement requests", len(f.control.requests))
+}
+
+// TestDeadline guards against routes without a timeout whose answers are cut off early.
+func TestDeadline(t *testing.T) {
+	tests := []struct {
+		name          string
+		route, caller time.Duration
+		want          time.Duration
+	}{
+		{"route", 10 * time.Second, 0, 10 * time.Second},
+		{"caller", 10 * time.Second, time.Second, time.Second},
+		{"route before caller", time.Second, 10 * time.Second, time.Second},
+		{"none", 0, 0, 30 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := call(modeler.Safe, "/read/1")
+			c.Route.Timeout, c.Fields.Timeout = tt.route, tt.caller
+			assert.Equal(t, forwarder.Deadline(c).Sub(c.Arrived), tt.want)
+		})
+	}
+}
--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -22,8 +22,7 @@
 const (
 	// defaultBodyLimit is the largest body in bytes if no configuration states a limit.
 	defaultBodyLimit = 8 << 20
-	// writeGrace is how long after the route's timeout an answer may still be written to a slow caller. If the route states no timeout, it
-	// counts from the arrival of the request.
+	// writeGrace is how long after the deadline of a request its answer may still be written to a slow caller.
 	writeGrace = 5 * time.Second
 	// startRetryAfter is the Retry-After that callers get while the node has no configuration yet.
 	startRetryAfter = 500 * time.Millisecond
@@ -76,7 +75,7 @@
 		c.Observer.Rejected(fields.ID, code, configuration.Version, snapshot.OperatorsAge)
 		return
 	}
-	sink := &responseSink{writer: w, control: http.NewResponseController(w), writeDeadline: arrived.Add(call.Route.Timeout + writeGrace)}
+	sink := &responseSink{writer: w, control: http.NewResponseController(w), writeDeadline: forwarder.Deadline(call).Add(writeGrace)}
 	result := c.Forwarder.Serve(r.Context(), call, sink)
 	c.Observer.Ended(call, result)
 	sink.clearDeadline()
