Elect the coordinator by processor capacity, then by rank

Change: the settings carry the share and speed of the processor, heartbeats and digests the product, and a node with about twice the capacity of another precedes it. A node announces its capacity only once it has a configuration and has read the endpoints, so that a large node that has just started does not take over before it can place anything. Hubs and the deputy follow the same order. Besides, a digest of an unknown sender or of an earlier process is ignored; both cases of TestDigestSender failed before.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -103,6 +103,7 @@
 	self := modeler.Node{
 		ID: modeler.NodeID(settings.Node.Name), Incarnation: rand.Uint64() >> 1, Rank: modeler.UnregisteredRank, PeerAddress: peerAddress,
 		CallerAddress: settings.Listen.Callers, DataCentre: modeler.DataCentreID(settings.Node.DataCentre), Region: settings.Node.Region,
+		MilliCores: settings.Limits.MilliCores(),
 	}
 	bounds := settings.Bounds
 	n.budget = limiter.NewBudget(limiter.Options{
--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -73,3 +73,32 @@
 		})
 	}
 }
+
+// TestDigestSender guards against the digest of an unknown sender, or of an earlier process of a node, which would revive dead nodes.
+func TestDigestSender(t *testing.T) {
+	tests := []struct {
+		name        string
+		from        modeler.NodeID
+		incarnation uint64
+		applied     bool
+	}{
+		{"known", "a", 2, true}, {"unknown node", "x", 2, false}, {"earlier process", "a", 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			world := modeler.NewWorld(modeler.Node{ID: "self", Rank: 9})
+			world.Nodes.Put("a", modeler.Node{ID: "a", Incarnation: 2, Rank: 1}.WithLastSeen(now))
+			world.Nodes.Put("b", modeler.Node{ID: "b", Incarnation: 3, Rank: 2})
+			digest := modeler.Digest{AliveRanks: []int64{2}, Alive: []modeler.Node{{ID: "c", Incarnation: 4, Rank: 3}}}
+			tick := &modeler.Tick{Now: now, Events: []modeler.Event{
+				modeler.PeerReceived{Message: modeler.Message{From: tt.from, Incarnation: tt.incarnation, Body: digest}},
+			}}
+			elector.New(nil).Run(tick, world)
+			b, _ := world.Nodes.Get("b")
+			_, known := world.Nodes.Get("c")
+			assert.Equal(t, elector.Live(b, now), tt.applied)
+			assert.Equal(t, known, tt.applied)
+		})
+	}
+}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -1,5 +1,6 @@
 // Package elector detects which nodes are alive and elects the one that coordinates placement. There is no vote: each node elects the node
-// with the lowest rank among those from which it received a message recently and that are not leaving. Ranks are offsets in the store. Two
+// that precedes all others, by processor capacity and then by rank, among those from which it received a message recently and that are not
+// leaving. Ranks are offsets in the store. Two
 // coordinators at the same time lower the quality of placement but never affect safety.
 package elector
 
@@ -21,7 +22,7 @@
 	helloInterval = time.Second
 	// nodeTimeout is the time without messages after which any other node counts as dead: two hello intervals and some delay.
 	nodeTimeout = 2500 * time.Millisecond
-	// hubCount is the number of hubs: the nodes of lowest rank, which send hellos to all others. The other nodes send hellos only to the
+	// hubCount is the number of hubs: the nodes that precede all others, which send hellos to all others. The other nodes send hellos only to the
 	// hubs, so that the number of messages grows with the number of nodes and not with its square.
 	hubCount = 6
 	// digestEvery is the number of the coordinator's heartbeats per digest: two digests fit into nodeTimeout. The coordinator also sends one
@@ -101,9 +102,12 @@
 		if !ok || known.Incarnation != message.Incarnation {
 			return
 		}
-		known = known.WithLeaving(body.Node.Leaving).WithRank(body.Node.Rank).WithCoordinates(body.Coordinates)
+		known = known.WithLeaving(body.Node.Leaving).WithRank(body.Node.Rank).WithMilliCores(body.Node.MilliCores).WithCoordinates(body.Coordinates)
 		world.Nodes.Put(message.From, known)
 	case modeler.Digest:
+		if known, ok := world.Nodes.Get(message.From); !ok || known.Incarnation != message.Incarnation {
+			return
+		}
 		s.applyDigest(tick.Now, world, body)
 		if message.From == world.Coordinator {
 			world.Loads, world.LoadsAt = body.Loads, tick.Now
@@ -128,16 +132,41 @@
 	return !last.IsZero() && now.Sub(last) < nodeTimeout
 }
 
-// elect chooses as coordinator the node with the lowest rank among this node and those from which it received a message recently and that
+// announced returns this node as other nodes know it: without its capacity until it has read the store and could coordinate.
+func announced(world *modeler.World) modeler.Node {
+	if !world.Configuration.Loaded() || world.ConfirmedAt[modeler.Endpoints].IsZero() {
+		return world.Self.WithMilliCores(0)
+	}
+	return world.Self
+}
+
+// candidate returns this node as a candidate for the coordinator. A node that is leaving is preferred to no other.
+func candidate(world *modeler.World) modeler.Node {
+	self := announced(world)
+	if self.Leaving {
+		self.Rank = modeler.UnregisteredRank
+	}
+	return self
+}
+
+func comparePrecedence(a, b modeler.Node) int {
+	switch {
+	case a.Precedes(b):
+		return -1
+	case b.Precedes(a):
+		return 1
+	default:
+		return cmp.Compare(a.ID, b.ID)
+	}
+}
+
+// elect chooses as coordinator the node that precedes all others among this node and those from which it received a message recently and that
 // are not leaving. If this node is leaving, it is chosen only when there is no other.
 func (s *System) elect(tick *modeler.Tick, world *modeler.World) {
-	best := world.Self
-	if best.Leaving {
-		best.Rank = modeler.UnregisteredRank
-	}
+	best := candidate(world)
 	for id, node := range world.Nodes.All() {
 		// A coordinator must be reachable from this node: reports by other nodes do not count.
-		if node.Leaving || node.Rank >= best.Rank || node.LastSeenAt.IsZero() || tick.Now.Sub(node.LastSeenAt) >= nodeTimeout {
+		if node.Leaving || !node.Precedes(best) || node.LastSeenAt.IsZero() || tick.Now.Sub(node.LastSeenAt) >= nodeTimeout {
 			continue
 		}
 		// A coordinator sends heartbeats at short intervals, so the short timeout applies to it, counted from its election at the earliest. A
@@ -153,7 +182,7 @@
 	if best.ID == world.Coordinator {
 		return
 	}
-	if old, ok := world.Nodes.Get(world.Coordinator); ok && !old.Leaving && Live(old, tick.Now) && old.Rank < best.Rank {
+	if old, ok := world.Nodes.Get(world.Coordinator); ok && !old.Leaving && Live(old, tick.Now) && old.Precedes(best) {
 		// The old coordinator timed out. It counts as dead until a message from it, or a digest that reports it as alive, is
 		// received; only a message makes it electable again.
 		old.LastSeenAt, old.ReportedAt = time.Time{}, time.Time{}
@@ -178,12 +207,9 @@
 // Deputy returns the node that places requests while the coordinator does not respond: the one that is elected if the coordinator has failed. It
 // returns false if this node is the deputy itself.
 func Deputy(world *modeler.World, now time.Time) (modeler.Node, bool) {
-	best := world.Self
-	if best.Leaving {
-		best.Rank = modeler.UnregisteredRank
-	}
+	best := candidate(world)
 	for id, node := range world.Nodes.All() {
-		if id != world.Coordinator && !node.Leaving && node.Rank < best.Rank && !node.LastSeenAt.IsZero() && now.Sub(node.LastSeenAt) < nodeTimeout {
+		if id != world.Coordinator && !node.Leaving && node.Precedes(best) && !node.LastSeenAt.IsZero() && now.Sub(node.LastSeenAt) < nodeTimeout {
 			best = node
 		}
 	}
@@ -240,13 +266,13 @@
 // hubNodes returns the other nodes among the hubs, and whether this node is a hub. Dead nodes are excluded: they stay in the table, and
 // without the exclusion all hubs would be dead nodes after some time. Nodes from which no message was received yet count as candidates.
 func hubNodes(now time.Time, world *modeler.World) (others map[modeler.NodeID]bool, self bool) {
-	nodes := []modeler.Node{world.Self}
+	nodes := []modeler.Node{announced(world)}
 	for _, node := range world.Nodes.All() {
 		if Live(node, now) || node.LastSeenAt.IsZero() {
 			nodes = append(nodes, node)
 		}
 	}
-	slices.SortFunc(nodes, func(a, b modeler.Node) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(nodes, comparePrecedence)
 	others = map[modeler.NodeID]bool{}
 	for _, node := range nodes[:min(len(nodes), hubCount)] {
 		if node.ID == world.Self.ID {
@@ -267,7 +293,7 @@
 
 // beatMessage returns a heartbeat with the requests of this node that are running.
 func (s *System) beatMessage(world *modeler.World) modeler.Message {
-	body := modeler.Beat{Node: world.Self, Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll}
+	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll}
 	for _, id := range world.ByNode.Keys(world.Self.ID) {
 		if a, ok := world.Assignments.Get(id); ok {
 			body.Running = append(body.Running, a)
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -141,6 +141,64 @@
 	}
 }
 
+// TestCapacity guards against a coordinator on a small instance while a larger one could coordinate, and against one that coordinates before it
+// has read the store.
+func TestCapacity(t *testing.T) {
+	knows := func(f *fleet, id modeler.NodeID) {
+		f.worlds[id].Configuration = modeler.NewConfiguration(1, nil, nil, nil, modeler.Limits{})
+		f.worlds[id].ConfirmedAt[modeler.Endpoints] = f.now
+	}
+	resize := func(f *fleet, id modeler.NodeID, capacity int) {
+		f.worlds[id].Self = f.worlds[id].Self.WithMilliCores(capacity)
+	}
+	tests := []struct {
+		name   string
+		change func(f *fleet)
+		want   modeler.NodeID
+	}{
+		{"equal capacities", func(f *fleet) {
+			for i := range 5 {
+				resize(f, name(i), 400)
+				knows(f, name(i))
+			}
+		}, "n00"},
+		{"a larger one", func(f *fleet) {
+			resize(f, "n03", 800)
+			knows(f, "n03")
+		}, "n03"},
+		{"a larger one that has not read the store", func(f *fleet) { resize(f, "n03", 800) }, "n00"},
+		{"the larger one dies", func(f *fleet) {
+			resize(f, "n03", 800)
+			knows(f, "n03")
+			f.run(3 * time.Second)
+			f.dead["n03"] = true
+		}, "n00"},
+		{"a little larger", func(f *fleet) {
+			resize(f, "n00", 400)
+			knows(f, "n00")
+			resize(f, "n03", 500)
+			knows(f, "n03")
+		}, "n00"},
+		{"the larger one leaves", func(f *fleet) {
+			resize(f, "n03", 800)
+			knows(f, "n03")
+			f.run(3 * time.Second)
+			f.inbox["n03"] = append(f.inbox["n03"], modeler.LeaveRequested{})
+		}, "n00"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(5)
+			f.run(2 * time.Second)
+			tt.change(f)
+			f.run(4 * time.Second)
+			coordinators := f.coordinators()
+			assert.Equal(t, len(coordinators), 1)
+			assert.Assert(t, coordinators[tt.want] > 0, "%v", coordinators)
+		})
+	}
+}
+
 // TestHubsAreReplaced guards against hubs that are dead and never replaced. Nodes would then send hellos to dead nodes only, and a node
 // that receives nothing from the coordinator would know no other candidate.
 func TestHubsAreReplaced(t *testing.T) {
--- a/internal/fleet/loader/settings.go
+++ b/internal/fleet/loader/settings.go
@@ -53,8 +53,14 @@
 type Limits struct {
 	// MemoryMB is the memory that the process may use, in units of 1,000,000 bytes.
 	MemoryMB int
+	// CPUShare is the fraction of a core that the process may use, and CPUCores the speed of that core relative to a usual one. Zero means
+	// unknown.
+	CPUShare, CPUCores float64
 }
 
+// MilliCores returns the processor capacity in thousandths of a core; zero if it is unknown.
+func (l Limits) MilliCores() int { return int(1000 * l.CPUShare * l.CPUCores) }
+
 // Bounds holds limits that the nodes of the fleet observe together.
 type Bounds struct {
 	GraceSeconds        float64
@@ -160,6 +166,8 @@
 		positive bool
 	}{
 		{"Limits.MemoryMB", float64(s.Limits.MemoryMB), true},
+		{"Limits.CPUShare", s.Limits.CPUShare, false},
+		{"Limits.CPUCores", s.Limits.CPUCores, false},
 		{"Bounds.GraceSeconds", s.Bounds.GraceSeconds, true},
 		{"Bounds.RetryBudgetRatio", s.Bounds.RetryBudgetRatio, false},
 		{"Bounds.RetryBudgetSlack", s.Bounds.RetryBudgetSlack, false},
--- a/internal/fleet/loader/settings_test.go
+++ b/internal/fleet/loader/settings_test.go
@@ -38,6 +38,8 @@
 		{"ports in wrong order", `[4, 5]`, `[5, 4]`, []string{"Listen.PeerPorts"}},
 		{"several findings", `"Name": "n", "IP": "127.0.0.1"`, `"Name": "", "IP": ""`, []string{"Node.Name", "Node.IP"}},
 		{"zero where a positive value is required", `"GraceSeconds": 8`, `"GraceSeconds": 0`, []string{"Bounds.GraceSeconds"}},
+		{"processor capacity", `"MemoryMB": 284`, `"MemoryMB": 284, "CPUShare": 0.4, "CPUCores": 2`, nil},
+		{"negative processor share", `"MemoryMB": 284`, `"MemoryMB": 284, "CPUShare": -0.4`, []string{"Limits.CPUShare"}},
 		{"negative", `"ColdSlack": 5`, `"ColdSlack": -5`, []string{"Bounds.ColdSlack"}},
 		{"unknown log level", `"info"`, `"loud"`, []string{"Log.Level"}},
 	}
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -77,6 +77,7 @@
 	return modeler.Node{
 		ID: modeler.NodeID(n.GetId()), Incarnation: n.GetIncarnation(), Rank: n.GetRank(), PeerAddress: n.GetPeerAddress(),
 		CallerAddress: n.GetCallerAddress(), DataCentre: modeler.DataCentreID(n.GetDataCentre()), Region: n.GetRegion(), Leaving: n.GetLeaving(),
+		MilliCores: int(n.GetMilliCores()),
 	}
 }
 
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -67,6 +67,7 @@
 	return &Node{
 		Id: string(n.ID), Incarnation: n.Incarnation, Rank: n.Rank, PeerAddress: n.PeerAddress, CallerAddress: n.CallerAddress,
 		DataCentre: string(n.DataCentre), Region: n.Region, Leaving: n.Leaving,
+		MilliCores: int32(n.MilliCores),
 	}
 }
 
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -24,7 +24,7 @@
 func node() modeler.Node {
 	return modeler.Node{
 		ID: "n", Incarnation: 1 << 62, Rank: modeler.UnregisteredRank, PeerAddress: "10.0.0.1:1", CallerAddress: "10.0.0.1:2", DataCentre: "dc",
-		Region: "region", Leaving: true,
+		Region: "region", Leaving: true, MilliCores: 192,
 	}
 }
 
--- a/internal/fleet/modeler/node.go
+++ b/internal/fleet/modeler/node.go
@@ -1,15 +1,21 @@
 package modeler
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
 // Node describes a node.
 type Node struct {
 	ID NodeID
 	// Incarnation differs for each start of the process.
 	Incarnation uint64
-	// Rank is the store offset of the node's registration. The live node with the lowest rank coordinates placement. Nodes that are not
+	// Rank is the store offset of the node's registration. The live node that Precedes all others coordinates placement. Nodes that are not
 	// registered yet have UnregisteredRank.
 	Rank int64
+	// MilliCores is the processor capacity in thousandths of a core. It is zero if it is unknown, and in messages as long as the node cannot
+	// coordinate because it has not read the store.
+	MilliCores int
 	// PeerAddress receives datagrams from other nodes.
 	PeerAddress string
 	// CallerAddress accepts connections from callers.
@@ -53,6 +59,29 @@
 	return n
 }
 
+// WithMilliCores returns the node with the given processor capacity.
+func (n Node) WithMilliCores(capacity int) Node {
+	n.MilliCores = capacity
+	return n
+}
+
+// capacityUnit is the smallest capacity that makes a difference between nodes. Below it, a node can coordinate only a small fleet.
+const capacityUnit = 100
+
+// Precedes reports whether the node is preferred to other as coordinator: a registered node to one that is not registered yet, then one with at
+// least about twice the processor capacity, then the one that registered earlier.
+func (n Node) Precedes(other Node) bool {
+	registered, otherRegistered := n.Rank != UnregisteredRank, other.Rank != UnregisteredRank
+	if registered != otherRegistered {
+		return registered
+	}
+	class, otherClass := bits.Len(uint(n.MilliCores/capacityUnit)), bits.Len(uint(other.MilliCores/capacityUnit))
+	if class != otherClass {
+		return class > otherClass
+	}
+	return n.Rank < other.Rank
+}
+
 // WithRank returns the node with the rank of its registration.
 func (n Node) WithRank(rank int64) Node {
 	n.Rank = rank
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -235,7 +235,7 @@
 
 // handleBeat records that another node reads for all nodes, and sends the operators' records to the sender if it lacks some.
 func (s *System) handleBeat(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, beat modeler.Beat) {
-	if beat.ReadsForAll && (from == world.Coordinator || beat.Node.Rank < world.Self.Rank) {
+	if beat.ReadsForAll && (from == world.Coordinator || beat.Node.Precedes(world.Self)) {
 		s.readerSeenAt = tick.Now
 	}
 	peer, ok := world.Nodes.Get(from)
