Hold requests briefly until a restarted node has its first configuration

Change: such a request is held for up to 45 in 100 of the caller's timeout, at most 1.5 s and at most 256 requests a node, and served once the configuration is there; else it is refused with a Retry-After of 2 to 3 s, spread.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -272,7 +272,7 @@
 		Control: n.loop, Protocol: traffic, Pool: pool, Reserver: reserver, Self: self, OnRetry: n.observer.Retried,
 		Budget: n.budget,
 	}
-	callers := &listener.CallerHandler{Decoder: traffic, Forwarder: forward, Snapshot: n.loop.Snapshot, Observer: n.observer}
+	callers := &listener.CallerHandler{Decoder: traffic, Forwarder: forward, Snapshot: n.loop.Snapshot, Observer: n.observer, Configured: n.loop.Configured()}
 	addresses := listener.Addresses{
 		Snapshot: n.loop.Snapshot, Decode: platform.AddressQuery, Write: platform.WriteAddresses, TTL: loader.Seconds(n.settings.Addresses.KeepSeconds),
 	}
--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -3,6 +3,7 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,8 +26,16 @@
 	defaultBodyLimit = 8 << 20
 	// writeGrace is how long after the deadline of a request its answer may still be written to a slow caller.
 	writeGrace = 5 * time.Second
-	// startRetryAfter is the Retry-After that callers get while the node has no configuration yet.
-	startRetryAfter = 500 * time.Millisecond
+	// A request that arrives before the node has a configuration is held for holdFraction of the caller's timeout, at most for maxHoldTime, and
+	// only while at most maxHeld requests are held. Callers of streams leave after 2 s without an event.
+	holdFraction = 0.45
+	maxHoldTime  = 1500 * time.Millisecond
+	maxHeld      = 256
+	// startRetryAfter is the shortest Retry-After that callers get while the node has no configuration yet, and startRetrySpread the range above it
+	// over which their returns are spread. Callers reach such a node only if all nodes have restarted, and a caller that comes back before the
+	// store or another node can be reached has used up its retry.
+	startRetryAfter  = 2 * time.Second
+	startRetrySpread = time.Second
 )
 
 // RequestDecoder decodes the header of a caller's request.
@@ -39,6 +49,31 @@
 	Forwarder *forwarder.Forwarder
 	Snapshot  func() *modeler.Snapshot
 	Observer  *observer.Observer
+	// Configured is closed once Snapshot has a configuration.
+	Configured <-chan struct{}
+	// held is the number of requests that wait for it.
+	held atomic.Int64
+}
+
+// awaitConfiguration waits for the first configuration and returns the snapshot that has it, or the newest one without it after a part of the
+// caller's timeout. Callers reach a node without a configuration only if all nodes have restarted; some of them have no retry left.
+func (c *CallerHandler) awaitConfiguration(ctx context.Context, timeout time.Duration) *modeler.Snapshot {
+	defer c.held.Add(-1)
+	if c.held.Add(1) > maxHeld {
+		return c.Snapshot()
+	}
+	limit := maxHoldTime
+	if timeout > 0 {
+		limit = min(limit, time.Duration(holdFraction*float64(timeout)))
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-c.Configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return c.Snapshot()
 }
 
 // ServeHTTP implements http.Handler.
@@ -65,7 +100,11 @@
 		return
 	}
 	if !configuration.Loaded() {
-		refuse(w, http.StatusServiceUnavailable, startRetryAfter)
+		snapshot = c.awaitConfiguration(r.Context(), fields.Timeout)
+		configuration = snapshot.Configuration
+	}
+	if !configuration.Loaded() {
+		refuse(w, http.StatusServiceUnavailable, startRetryAfter+rand.N(startRetrySpread))
 		c.Observer.Rejected(fields.ID, http.StatusServiceUnavailable, 0, snapshot.OperatorsAge)
 		return
 	}
--- a/internal/fleet/runner/loop.go
+++ b/internal/fleet/runner/loop.go
@@ -46,6 +46,8 @@
 	// closeInbox is called when Run returns.
 	closeInbox func()
 	snapshot   atomic.Pointer[modeler.Snapshot]
+	// configured is closed when the first snapshot with a configuration is published.
+	configured chan struct{}
 	waiters    map[modeler.RequestID]chan modeler.Decision
 	// publishedAt is when the current snapshot was built, and publishedOffset the offset of the configuration in it.
 	publishedAt     time.Time
@@ -60,7 +62,7 @@
 
 // New returns a Loop over world and publishes the first snapshot. Run must be called exactly once.
 func New(world *modeler.World, options Options) *Loop {
-	l := &Loop{options: options, world: world, waiters: map[modeler.RequestID]chan modeler.Decision{}}
+	l := &Loop{options: options, world: world, waiters: map[modeler.RequestID]chan modeler.Decision{}, configured: make(chan struct{})}
 	l.inbox, l.closeInbox = batcher.NewInbox[envelope](eventBuffer, maxBatch)
 	l.publish(options.Now())
 	return l
@@ -89,6 +91,9 @@
 // Snapshot returns the latest published snapshot.
 func (l *Loop) Snapshot() *modeler.Snapshot { return l.snapshot.Load() }
 
+// Configured returns a channel that is closed once a snapshot has a configuration.
+func (l *Loop) Configured() <-chan struct{} { return l.configured }
+
 // Run runs ticks until ctx is done and then returns its error. A tick runs when there are events, at the time that the last tick requested,
 // and after idleInterval at the latest.
 func (l *Loop) Run(ctx context.Context) error {
@@ -156,5 +161,8 @@
 
 func (l *Loop) publish(now time.Time) {
 	l.publishedAt = now
-	l.snapshot.Store(modeler.NewSnapshot(l.world, elector.Alive(l.world, now), now))
+	previous := l.snapshot.Swap(modeler.NewSnapshot(l.world, elector.Alive(l.world, now), now))
+	if l.world.Configuration.Loaded() && (previous == nil || !previous.Configuration.Loaded()) {
+		close(l.configured)
+	}
 }
