--- a/internal/fleet/modeler/endpoint.go
+++ b/internal/fleet/modeler/endpoint.go
@@ -77,6 +77,8 @@
 	paceKept = 0.3
 	// minSlowPace is the smallest sample that counts as slow. Smaller ones also come from engines that are only loaded.
 	minSlowPace = 3
+	// slowPace is the pace from which an endpoint is reported as slow.
+	slowPace = 2
 	// paceWeight is the weight of the newest sample that is slower than the pace.
 	paceWeight = 0.8
 	// maxPace bounds a sample.
@@ -111,6 +113,9 @@
 	return math.Exp(h.paceLog * math.Exp2(-float64(now.Sub(h.paceAt))/float64(paceHalfLife)))
 }
 
+// Slow reports whether the endpoint has taken at least twice as long as expected lately.
+func (h Health) Slow(now time.Time) bool { return h.Pace(now) >= slowPace }
+
 // WithPace returns the health after a sample of the pace: the time that a first event took divided by the expected time. share, from 0 to 1, is
 // the part of a delay that is attributed to this endpoint; it is below 1 if others may have caused the delay.
 func (h Health) WithPace(now time.Time, sample, share float64) Health {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -39,7 +39,7 @@
 				recordFirstEvent(tick, world, body.ID)
 			case modeler.Ended:
 				if a, ok := world.Assignments.Get(body.ID); ok {
-					sampleEnded(tick.Now, world, a)
+					sampleEnded(tick, world, a)
 				}
 				world.Unassign(body.ID)
 				updateHealth(tick, world, body)
@@ -63,7 +63,7 @@
 		return
 	}
 	if a.FirstEventAt.IsZero() {
-		samplePace(tick.Now, world, a)
+		samplePace(tick, world, a)
 	}
 	health, _ := world.Health.Get(a.Plan.Endpoint.ID)
 	world.Health.Put(a.Plan.Endpoint.ID, health.WithActivity(tick.Now))
@@ -77,15 +77,15 @@
 )
 
 // sampleEnded updates the paces of the engines of an assignment that ends without a first event although that is overdue.
-func sampleEnded(now time.Time, world *modeler.World, a modeler.Assignment) {
-	if a.FirstEventAt.IsZero() && now.Sub(a.Placed) > 2*a.Plan.TimeToFirstEvent {
-		samplePace(now, world, a)
+func sampleEnded(tick *modeler.Tick, world *modeler.World, a modeler.Assignment) {
+	if a.FirstEventAt.IsZero() && tick.Now.Sub(a.Placed) > 2*a.Plan.TimeToFirstEvent {
+		samplePace(tick, world, a)
 	}
 }
 
 // samplePace updates the paces of the engines of an assignment that got its first event now, or has ended without one. If the event came in
 // time, no engine is slow. If it came late, any of them may be: each gets a share of the delay, a larger one if it was slow before.
-func samplePace(now time.Time, world *modeler.World, a modeler.Assignment) {
+func samplePace(tick *modeler.Tick, world *modeler.World, a modeler.Assignment) {
 	if a.Plan.TimeToFirstEvent <= 0 {
 		return
 	}
@@ -98,16 +98,23 @@
 			expected = max(expected, end.Sub(a.Placed))
 		}
 		health, _ := world.Health.Get(engine.ID)
-		total += priorPace + math.Log(health.Pace(now))
+		total += priorPace + math.Log(health.Pace(tick.Now))
 	}
-	sample := float64(now.Sub(a.Placed)) / float64(expected+paceMargin)
+	sample := float64(tick.Now.Sub(a.Placed)) / float64(expected+paceMargin)
 	for _, engine := range engines {
 		if _, ok := world.Endpoints.Get(engine.ID); !ok {
 			continue
 		}
 		health, _ := world.Health.Get(engine.ID)
-		share := (priorPace + math.Log(health.Pace(now))) / total
-		world.Health.Put(engine.ID, health.WithPace(now, sample, share))
+		share := (priorPace + math.Log(health.Pace(tick.Now))) / total
+		after := health.WithPace(tick.Now, sample, share)
+		world.Health.Put(engine.ID, after)
+		if health.Slow(tick.Now) != after.Slow(tick.Now) {
+			tick.Emit(modeler.LogEvent{Name: modeler.LogEventEndpointJudged, Request: a.Request.ID, Fields: []modeler.LogField{
+				{Key: "Endpoint", Value: string(engine.ID)}, {Key: "Slow", Value: after.Slow(tick.Now)}, {Key: "Pace", Value: after.Pace(tick.Now)},
+				{Key: "Took", Value: tick.Now.Sub(a.Placed)}, {Key: "Expected", Value: expected}, {Key: "Engines", Value: len(engines)},
+			}})
+		}
 	}
 }
 
@@ -131,7 +138,7 @@
 	if !ok {
 		return
 	}
-	sampleEnded(tick.Now, world, assignment)
+	sampleEnded(tick, world, assignment)
 	world.Unassign(e.ID)
 	ended := modeler.Ended{
 		ID: e.ID, Endpoint: assignment.Plan.Endpoint.ID, Outcome: e.Outcome, Fingerprint: assignment.Request.Fingerprint,
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -179,20 +179,21 @@
 		prepare func(w *modeler.World)
 		after   time.Duration
 		event   func(modeler.RequestID) modeler.Event
-		// least and most bound the paces of the engines e1, e2 and e3.
+		// least and most bound the paces of the engines e1, e2 and e3. judged is the number of log lines about them.
 		least, most [3]float64
+		judged      int
 	}{
-		{"in time", alone, nil, expected, started, [3]float64{1, 1, 1}, [3]float64{1, 1, 1}},
-		{"slow", alone, nil, 6 * expected, started, [3]float64{3, 1, 1}, [3]float64{6, 1, 1}},
+		{"in time", alone, nil, expected, started, [3]float64{1, 1, 1}, [3]float64{1, 1, 1}, 0},
+		{"slow", alone, nil, 6 * expected, started, [3]float64{3, 1, 1}, [3]float64{6, 1, 1}, 1},
 		{"delayed by work that came later", alone, func(w *modeler.World) {
 			w.PrefillEnd.Put("e1", start.Add(6*expected))
-		}, 6 * expected, started, [3]float64{1, 1, 1}, [3]float64{1, 1, 1}},
-		{"one of three, unknown which", spread, nil, 6 * expected, started, [3]float64{1.2, 1.2, 1.2}, [3]float64{2, 2, 2}},
+		}, 6 * expected, started, [3]float64{1, 1, 1}, [3]float64{1, 1, 1}, 0},
+		{"one of three, unknown which", spread, nil, 6 * expected, started, [3]float64{1.2, 1.2, 1.2}, [3]float64{2, 2, 2}, 0},
 		{"one of three, which was slow before", spread, func(w *modeler.World) {
 			w.Health.Put("e2", modeler.Health{}.WithPace(start, 6, 1))
-		}, 8 * expected, started, [3]float64{1, 4, 1}, [3]float64{1.5, 8, 1.5}},
-		{"ended without a first event", alone, nil, 6 * expected, abandoned, [3]float64{3, 1, 1}, [3]float64{6, 1, 1}},
-		{"the caller left early", alone, nil, expected / 2, abandoned, [3]float64{1, 1, 1}, [3]float64{1, 1, 1}},
+		}, 8 * expected, started, [3]float64{1, 4, 1}, [3]float64{1.5, 8, 1.5}, 0},
+		{"ended without a first event", alone, nil, 6 * expected, abandoned, [3]float64{3, 1, 1}, [3]float64{6, 1, 1}, 1},
+		{"the caller left early", alone, nil, expected / 2, abandoned, [3]float64{1, 1, 1}, [3]float64{1, 1, 1}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -212,6 +213,13 @@
 				pace := health.Pace(tick.Now)
 				assert.Check(t, pace >= tt.least[i] && pace <= tt.most[i], "%s: %v", id, pace)
 			}
+			judged := 0
+			for _, effect := range tick.Effects() {
+				if line, ok := effect.(modeler.LogEvent); ok && line.Name == modeler.LogEventEndpointJudged {
+					judged++
+				}
+			}
+			assert.Equal(t, judged, tt.judged, "log lines about engines that have become slow or fast")
 		})
 	}
 }
