Count the request's own loss when an engine is chosen

An engine with a long backlog causes no further interference, and packing made it cheaper than an idle one; its first event came after the caller's deadline, and then no other engine was considered. The first placement of any request compared engines without its own lateness. Change: the score of an engine includes the loss of the request if its first event comes when that engine is done, and engines that are done too late are left out one by one. Measured: two cases of TestLengthAware fail before.

--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -144,15 +144,17 @@
 	// interference is the cost to requests on the engine, risk the expected cost of the engine's failures, and decodeCost the cost of
 	// decoding the request there. All are in units of weight.
 	interference, risk, decodeCost float64
-	// doneAfter is the expected time until the engine has processed its part.
+	// doneAfter is the expected time until the engine has processed its part, and ownLoss the loss of the request if its first event comes then.
 	doneAfter time.Duration
+	ownLoss   float64
 	// canRun is set if the engine has a slot and the memory to run the request, canReserve if it has the memory for a helper's part.
 	canRun, canReserve bool
 }
 
-// score is the total cost of assigning a part to the engine, without decodeCost. Lower is better.
+// score is the total cost of assigning a part to the engine, without decodeCost. Lower is better. It includes the request's own loss, since an
+// engine with a backlog causes no further interference and would otherwise be preferred to idle ones.
 func (e evaluation) score() float64 {
-	return e.interference + e.risk + doneCostPerSecond*e.doneAfter.Seconds()
+	return e.interference + e.risk + e.ownLoss + doneCostPerSecond*e.doneAfter.Seconds()
 }
 
 // selection holds the best evaluations that may hold a part, in ascending order of their scores.
@@ -182,10 +184,6 @@
 	found := false
 	for engines := 1; engines <= maxParts; engines++ {
 		proposal, ok := p.propose(now, request, candidates, engines, prefill/time.Duration(engines))
-		if proposal.Plan.TimeToFirstEvent > time.Duration(maxDeadlineFraction*float64(request.Deadline.Sub(now))) {
-			// The caller would probably have given up by then.
-			continue
-		}
 		if ok && (!found || proposal.cost() < best.cost()) {
 			best, found = proposal, true
 		}
@@ -204,12 +202,17 @@
 
 func (p LengthAware) propose(now time.Time, request modeler.Request, candidates []Candidate, engines int, partPrefill time.Duration) (Proposal, bool) {
 	reservedPerHelper := p.reservedPerHelper(request, engines)
+	latest := scale(request.Deadline.Sub(now), maxDeadlineFraction) - networkDelay
 	var chosen evaluation
 	found := false
 	// One more than the helpers, because the chosen engine may be among them.
 	helpers := make(selection, 0, engines+1)
 	for i := range candidates {
 		e := p.evaluate(now, request, &candidates[i], i, partPrefill, reservedPerHelper, engines)
+		if e.doneAfter > latest {
+			// The caller would probably have given up by then.
+			continue
+		}
 		if e.canRun && (!found || e.score()+e.decodeCost < chosen.score()+chosen.decodeCost) {
 			chosen, found = e, true
 		}
@@ -276,6 +279,7 @@
 	if pass == 0 {
 		e.doneAfter += scale(p.Profile.Step, pace)
 	}
+	e.ownLoss = requestWeight(request) * lossFraction(e.doneAfter+networkDelay, request.Due.Sub(now))
 	e.risk = (c.FailureRate + slowRisk*math.Log(pace)) * requestWeight(request)
 	switch {
 	case c.Shared:
--- a/internal/fleet/placer/policy_test.go
+++ b/internal/fleet/placer/policy_test.go
@@ -60,6 +60,10 @@
 func TestLengthAware(t *testing.T) {
 	busy := Load{BusyUntil: start.Add(2 * time.Second), prefilling: []prefillingRequest{{first: start.Add(2 * time.Second), due: start.Add(3 * time.Second), weight: 20}}}
 	full := decodingLoad(16)
+	late := short()
+	late.Due = start.Add(-500 * time.Millisecond)
+	backlogged, far := decodingLoad(4), decodingLoad(4)
+	backlogged.BusyUntil, far.BusyUntil = start.Add(1500*time.Millisecond), start.Add(3*time.Second)
 	tests := []struct {
 		name    string
 		request modeler.Request
@@ -76,6 +80,8 @@
 		{"long goes to idle engines", long(182_000), []Load{decodingLoad(8), {}, {}, {}, decodingLoad(8)}, "e1", 1, 2},
 		{"long alone on the only idle engine", long(100_000), []Load{decodingLoad(8), {}}, "e1", 0, 0},
 		{"too long for one engine in time", long(182_000), []Load{{}, {}, {}, {}, {}, {}}, "e0", 1, 5},
+		{"not behind a backlog that it cannot make worse", short(), []Load{backlogged, {}}, "e1", 0, 0},
+		{"the cheapest engine is not in time for the deadline", late, []Load{far, {}}, "e1", 0, 0},
 		{"memory", long(300_000), []Load{{Memory: 200_000}, {}}, "e1", 0, 1},
 	}
 	for _, tt := range tests {
--- a/internal/proof/loadtester/bound_test.go
+++ b/internal/proof/loadtester/bound_test.go
@@ -98,8 +98,8 @@
 	for _, a := range arrivals {
 		k := key{a.class.name, a.at / interval}
 		release := k.slice * interval
-		gain := a.class.worth - a.class.lateWorth
-		owed, late = owed+a.class.worth, late+a.class.lateWorth
+		gain := a.size() * (a.class.worth - a.class.lateWorth)
+		owed, late = owed+a.size()*a.class.worth, late+a.size()*a.class.lateWorth
 		read := profile.PrefillTime(a.prompt)
 		writing := time.Duration(a.events) * profile.BasePassTime()
 		due := release + interval + a.class.target
--- a/internal/proof/loadtester/fleet_test.go
+++ b/internal/proof/loadtester/fleet_test.go
@@ -20,6 +20,8 @@
 	events int
 	// worth is the value of an answer on time, lateWorth of a late one.
 	worth, lateWorth float64
+	// spread is the standard deviation of the logarithm of the prompts' lengths.
+	spread float64
 }
 
 // site describes a deployment.
@@ -33,14 +35,14 @@
 var (
 	// rota has the figures of degrau-rota, and large those of szelfogo-router-large.
 	rota = site{name: "rota", nodes: 8, engines: 23, slots: 16, stride: 34, classes: []class{
-		{"quote", 5_000, 46, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 38, 1.3, 0.33},
-		{"schedule", 45_000, 2.57, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 23, 3.9, 0.97},
-		{"review", 182_000, 1.19, 3 * time.Second, time.Second, 15 * time.Second, 19, 24, 6.1},
+		{"quote", 5_000, 46, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 38, 1.3, 0.33, 0.3},
+		{"schedule", 45_000, 2.57, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 23, 3.9, 0.97, 0.3},
+		{"review", 182_000, 1.19, 3 * time.Second, time.Second, 15 * time.Second, 19, 24, 6.1, 0.5},
 	}}
 	large = site{name: "large", nodes: 20, engines: 135, slots: 10, stride: 53, classes: []class{
-		{"quote", 5_000, 184, 400 * time.Millisecond, 300 * time.Millisecond, 10 * time.Second, 26, 1.3, 0.34},
-		{"summary", 45_000, 15, 1500 * time.Millisecond, 800 * time.Millisecond, 10 * time.Second, 16, 2.9, 0.72},
-		{"history", 260_000, 3.76, 4 * time.Second, 1200 * time.Millisecond, 15 * time.Second, 13, 30, 7.6},
+		{"quote", 5_000, 184, 400 * time.Millisecond, 300 * time.Millisecond, 10 * time.Second, 26, 1.3, 0.34, 0.3},
+		{"summary", 45_000, 15, 1500 * time.Millisecond, 800 * time.Millisecond, 10 * time.Second, 16, 2.9, 0.72, 0.3},
+		{"history", 260_000, 3.76, 4 * time.Second, 1200 * time.Millisecond, 15 * time.Second, 13, 30, 7.6, 0.5},
 	}}
 )
 
@@ -52,6 +54,12 @@
 	events int
 }
 
+// size is the factor by which the length of the prompt multiplies the worth of an answer.
+func (a arrival) size() float64 {
+	const fixed, largest = 0.3, 4
+	return min(fixed+(1-fixed)*float64(a.prompt)/float64(a.class.prompt), largest)
+}
+
 // outcome is what a caller got.
 type outcome struct {
 	arrival arrival
--- a/internal/proof/loadtester/pattern_test.go
+++ b/internal/proof/loadtester/pattern_test.go
@@ -35,8 +35,12 @@
 	leastWorth, leastClass float64
 }
 
-// maxPrompt is the longest prompt that fits into the memory of one engine with its output.
-const maxPrompt modeler.Tokens = 395_000
+const (
+	// maxPrompt is the length of the longest prompt. It exceeds the memory of one engine.
+	maxPrompt modeler.Tokens = 500_000
+	// eventSpread is the standard deviation of the logarithm of the number of events.
+	eventSpread = 0.3
+)
 
 // arrivals returns the requests of a pattern, with exponential pauses between them and prompts that vary like those of the operators' pages.
 func (p pattern) arrivals(seed uint64) []arrival {
@@ -51,10 +55,8 @@
 				if at >= begin+phase.length {
 					break
 				}
-				// A spread of 0.3 varies most prompts by a factor of less than two.
-				const spread = 0.3
-				factor := math.Exp(spread*random.NormFloat64() - spread*spread/2)
-				a := arrival{at: at, class: c, events: max(1, int(float64(c.events)*math.Exp(spread*random.NormFloat64())))}
+				factor := math.Exp(c.spread*random.NormFloat64() - c.spread*c.spread/2)
+				a := arrival{at: at, class: c, events: max(1, int(float64(c.events)*math.Exp(eventSpread*random.NormFloat64())))}
 				a.prompt = min(modeler.Tokens(float64(c.prompt)*factor), maxPrompt)
 				all = append(all, a)
 			}
@@ -110,12 +112,13 @@
 func worth(outcomes []*outcome) float64 {
 	var earned, owed float64
 	for _, o := range outcomes {
-		owed += o.arrival.class.worth
+		size := o.arrival.size()
+		owed += size * o.arrival.class.worth
 		switch {
 		case o.onTime:
-			earned += o.arrival.class.worth
+			earned += size * o.arrival.class.worth
 		case o.served:
-			earned += o.arrival.class.lateWorth
+			earned += size * o.arrival.class.lateWorth
 		}
 	}
 	return earned / max(owed, 1)
