--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// candidates returns the endpoints that may get the request, or a random sample if there are too many. Endpoints in their back-off are included only if there is no other. The result is valid until the next call.
+// candidates returns the endpoints that may get the request, or a random sample if there are too many. Endpoints in their back-off are included
+// only if there is no other. The result is valid until the next call.
 func (s *System) candidates(tick *modeler.Tick, world *modeler.World, service modeler.Service, request modeler.Request) []Candidate {
 	now := tick.Now
 	s.loads.refresh(world)
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -43,9 +43,10 @@
 	// coordinator is the coordinator of the last tick. nextForwarded is when the next forwarded request is due to be asked for again.
 	coordinator              modeler.NodeID
 	nextForwarded, nextSweep time.Time
-	// candidateList is reused by all decisions, which decisions counts.
+	// candidateList is the array that candidates reuses.
 	candidateList []Candidate
-	decisions     int
+	// decisions counts the calls of decide, which bound the cost of a tick.
+	decisions int
 }
 
 // New returns the system.
