--- a/internal/proof/soaker/deployment_test.go
+++ b/internal/proof/soaker/deployment_test.go
@@ -125,14 +125,19 @@
 }
 
 // nextPort counts the ports that were tried. They are below the kernel's ephemeral range, so that no other connection takes the port of a
-// process between two starts.
+// process between two starts. Each test process begins at a port of its own: another soak on the machine would take the port of a node that is
+// stopped, and its callers would then reach this deployment.
 var nextPort atomic.Int64
 
 const (
 	firstPort = 12_000
 	portCount = 18_000
+	// portsPerProcess is the distance between the first ports of two test processes with consecutive ids.
+	portsPerProcess = 1_009
 )
 
+func init() { nextPort.Store(int64(os.Getpid()) * portsPerProcess % portCount) }
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	return fmt.Sprintf("127.0.0.1:%d", freePort(t))
