Log requests that a stopping node cuts off apart from callers that left

A node that closes its connections at the end of the grace period logged the requests that still ran as Status=Left, the same as a caller that disconnects, so that the logs could not tell the hypotheses of the lost requests apart. RequestEnded also names the declared output, from which the length of a stream can be expected. Answers to callers are unchanged. TestCallerDisconnects becomes TestCancelled with the same checks and a second case, which fails without the change.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -62,6 +62,8 @@
 	budget   *limiter.Budget
 	// active is the number of callers' requests that are being served.
 	active atomic.Int64
+	// serving is done, with the cause forwarder.ErrStopping, when the node cuts off the requests that are still running.
+	serving context.Context
 }
 
 // Process holds the resources of the process that a node uses.
@@ -99,7 +101,9 @@
 	reserver, closeReserver := platform.NewOrderClient()
 	defer closeReserver()
 
-	n := &Node{settings: settings}
+	serving, cutOff := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cutOff(nil)
+	n := &Node{settings: settings, serving: serving}
 	self := modeler.Node{
 		ID: modeler.NodeID(settings.Node.Name), Incarnation: rand.Uint64() >> 1, Rank: modeler.UnregisteredRank, PeerAddress: peerAddress,
 		CallerAddress: settings.Listen.Callers, DataCentre: modeler.DataCentreID(settings.Node.DataCentre), Region: settings.Node.Region,
@@ -151,6 +155,7 @@
 			n.leave(running)
 		case <-running.Done():
 		}
+		cutOff(forwarder.ErrStopping)
 		err := closePeers()
 		for _, s := range servers {
 			err = errors.Join(err, s.close())
@@ -232,12 +237,15 @@
 	}
 }
 
-// countActive wraps a handler so that its running requests are counted in n.active.
-func (n *Node) countActive(next http.Handler) http.Handler {
+// track wraps a handler so that its running requests are counted in n.active and are cancelled when n.serving is done.
+func (n *Node) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.active.Add(1)
 		defer n.active.Add(-1)
-		next.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		defer context.AfterFunc(n.serving, func() { cancel(context.Cause(n.serving)) })()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
@@ -286,7 +294,7 @@
 	}
 	handlerAt(listen.Ready).exact[platform.ReadyPath] = listener.Ready{Snapshot: n.loop.Snapshot}
 	handlerAt(listen.Addresses).exact[platform.AddressesPath] = addresses
-	handlerAt(listen.Callers).fallback = n.countActive(callers)
+	handlerAt(listen.Callers).fallback = n.track(callers)
 	if listen.MetricsPort > 0 {
 		handlerAt(net.JoinHostPort(n.settings.Node.IP, strconv.Itoa(listen.MetricsPort))).exact["/metrics"] = n.observer
 	}
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -68,11 +68,16 @@
 	Interrupted
 	// Left: the caller closed its connection.
 	Left
+	// Stopped: this node has stopped and cut off the request.
+	Stopped
 )
 
+// ErrStopping is the cause with which the context of Serve is cancelled when the node stops and cuts off the requests that are still running.
+var ErrStopping = errors.New("the node is stopping")
+
 // String implements fmt.Stringer.
 func (s Status) String() string {
-	return [...]string{"Delivered", "Refused", "Unknown", "TimedOut", "Interrupted", "Left"}[s]
+	return [...]string{"Delivered", "Refused", "Unknown", "TimedOut", "Interrupted", "Left", "Stopped"}[s]
 }
 
 // Result describes how a request ended.
@@ -334,6 +339,8 @@
 	overdue := time.Until(p.deadline) < minAttemptTime
 	switch {
 	case r.Status == Delivered && r.Code != 0:
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		r.Status = Stopped
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.Status = Left
 	case p.headerSent:
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -266,17 +266,30 @@
 	assert.Equal(t, len(f.second.Runs()), 0)
 }
 
-// TestCallerDisconnects guards against an endpoint that keeps working for a caller that has disconnected.
-func TestCallerDisconnects(t *testing.T) {
-	f := newFixture(t, 100)
-	f.first.SetFault(platformtest.EndpointFault{Silent: true})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan forwarder.Result, 1)
-	go func() { done <- f.forward.Serve(ctx, call(modeler.Unsafe, "/book/1"), &sink{}) }()
-	waitFor(t, func() bool { return len(f.first.Runs()) == 1 })
-	cancel()
-	assert.Equal(t, (<-done).Status, forwarder.Left)
-	waitFor(t, func() bool { return !f.first.Runs()[0].DisconnectedAt.IsZero() })
+// TestCancelled guards against an endpoint that keeps working for a request that has ended, and against a request that its own node cut off
+// and that is reported as one whose caller disconnected.
+func TestCancelled(t *testing.T) {
+	tests := []struct {
+		name  string
+		cause error
+		want  forwarder.Status
+	}{
+		{"caller disconnects", nil, forwarder.Left},
+		{"node stops", forwarder.ErrStopping, forwarder.Stopped},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 100)
+			f.first.SetFault(platformtest.EndpointFault{Silent: true})
+			ctx, cancel := context.WithCancelCause(t.Context())
+			done := make(chan forwarder.Result, 1)
+			go func() { done <- f.forward.Serve(ctx, call(modeler.Unsafe, "/book/1"), &sink{}) }()
+			waitFor(t, func() bool { return len(f.first.Runs()) == 1 })
+			cancel(tt.cause)
+			assert.Equal(t, (<-done).Status, tt.want)
+			waitFor(t, func() bool { return !f.first.Runs()[0].DisconnectedAt.IsZero() })
+		})
+	}
 }
 
 // waitFor polls until a condition is true and fails the test after 5 s.
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -53,7 +53,8 @@
 	LogEventPlaceRefused LogEventName = "PlaceRefused"
 	// LogEventAttemptRepeated: Request, Attempt, Outcome, Endpoint, Age.
 	LogEventAttemptRepeated LogEventName = "AttemptRepeated"
-	// LogEventRequestEnded: Request, Route, Status, Code, Endpoint, Helpers, Attempts, Last, Prompt, First, Pause, Took, Late, Reason, RetryAfter.
+	// LogEventRequestEnded: Request, Route, Status, Code, Endpoint, Helpers, Attempts, Last, Prompt, Output, First, Pause, Took, Late, Reason,
+	// RetryAfter.
 	LogEventRequestEnded LogEventName = "RequestEnded"
 	// LogEventRequestRejected: Request, Code, Version, ConfigurationAge.
 	LogEventRequestRejected LogEventName = "RequestRejected"
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -137,7 +137,7 @@
 	}
 	line := log.Info().Str("Request", string(call.Fields.ID)).Str("Route", call.Route.Name).Str("Status", r.Status.String()).
 		Int("Code", r.Code).Str("Endpoint", string(r.Endpoint)).Int("Helpers", r.Helpers).Int("Attempts", r.Attempts).
-		Str("Last", lastOutcome(r)).Int64("Prompt", int64(call.Fields.Prompt)).
+		Str("Last", lastOutcome(r)).Int64("Prompt", int64(call.Fields.Prompt)).Int64("Output", int64(call.Fields.Output)).
 		Dur("First", r.First).Dur("Pause", r.Pause).Dur("Took", time.Since(call.Arrived)).Bool("Late", late)
 	if r.Reason != "" {
 		line = line.Str("Reason", string(r.Reason)).Dur("RetryAfter", r.RetryAfter)
--- a/internal/telemetry/aggregator/day.go
+++ b/internal/telemetry/aggregator/day.go
@@ -58,6 +58,7 @@
 	{"UNKNOWN", countLines(endedWith("Unknown", "TimedOut"))},
 	{"BROKEN", countLines(endedWith("Interrupted"))},
 	{"LEFT", countLines(endedWith("Left"))},
+	{"STOPPED", countLines(endedWith("Stopped"))},
 	{"SERVICE P95", firstEventP95(0, 0)},
 	{"SHORT P95", firstEventP95(1, maxShortPrompt)},
 	{"MEDIUM P95", firstEventP95(maxShortPrompt+1, maxMediumPrompt)},
