--- a/internal/proof/soaker/deployment_test.go
+++ b/internal/proof/soaker/deployment_test.go
@@ -239,8 +239,10 @@
 	id, path string
 	node     int
 	sent     time.Time
-	code     int
-	body     string
+	// written is when the last byte of the request was sent; zero if it was not, or if the caller does not record it.
+	written time.Time
+	code    int
+	body    string
 	// complete is set if the answer was read to its end without an error.
 	complete bool
 	ended    time.Time
