Play planned stops under load on real processes, as a known failure

Cause, as far as this commit shows it: the node serves until 0.25 s before the end of its grace period and then closes all connections, whatever they carry. The tests missed it because TestSoak has unplanned faults at all times, short streams and endpoints with free slots, and its callers never outlast a grace period.

Change: TestPlannedStops has planned work only: SIGTERM and restart in series or overlapping, SIGHUP, new configurations. Callers keep one connection each until it is closed or refused, also to a node that is leaving. The cases are streams that last 6 s with a grace period of 4 s, endpoints with all slots taken, stops that overlap with reloads and configurations, and quick calls to nodes that stop between two of them. Each cut answer is judged by the platform's rule. A node must exit by itself within its grace period with code 0, and a refused request must not have run.

--- a/Makefile
+++ b/Makefile
@@ -64,9 +64,10 @@
 	for name in $(GUARANTEES); do grep "^Guarantee=$$name " bin/prove.log; done; exit $$status
 
 .PHONY: soak
-soak: ## Random faults on real processes; SEEDS=n, SEED=n replays one, BUDGET=5m plays fresh seeds, NODES=n
-	go test -count=1 -timeout 0 -v -parallel 6 -run TestSoak ./internal/proof/soaker -soak.seeds $(or $(SEEDS),50) -soak.seed $(or $(SEED),-1) \
-		-soak.budget $(or $(BUDGET),0s) -soak.nodes $(or $(NODES),4)
+soak: ## Random faults and planned stops on real processes; SEEDS=n, SEED=n replays one, BUDGET=5m plays fresh seeds, NODES=n, SCALE=n, TEST=name
+	go test -count=1 -timeout 0 -v -parallel 6 -run '$(or $(TEST),^(TestSoak|TestPlannedStops)$$)' ./internal/proof/soaker \
+		-soak.seeds $(or $(SEEDS),50) -soak.seed $(or $(SEED),-1) -soak.budget $(or $(BUDGET),0s) \
+		-soak.nodes $(or $(NODES),4) -soak.scale $(or $(SCALE),1)
 
 .PHONY: demo
 demo: build ## Start three data centres on loopback, send requests of all kinds and print what happened
--- a/internal/proof/soaker/deployment_test.go
+++ b/internal/proof/soaker/deployment_test.go
@@ -59,6 +59,28 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	// exitCode is the exit code of the last process that has exited; -1 if a signal ended it.
+	exitCode int
+}
+
+// graceSeconds is the grace period in the settings of the nodes.
+const graceSeconds = 4
+
+// options are the figures of a deployment that differ between tests.
+type options struct {
+	nodes int
+	// slots is the number of requests that an endpoint runs at once, and work the time that it takes for a call that is not a stream.
+	slots int
+	work  time.Duration
+	// callTimeout is the timeout of the routes that are not streams.
+	callTimeout time.Duration
+}
+
+// withScale returns the options with a multiple of the nodes and slots.
+func (o options) withScale(factor int) options {
+	o.nodes *= factor
+	o.slots *= factor
+	return o
 }
 
 // deployment is a set of nodes with a store and endpoints. Each connection between them that faults can break runs through a proxy.
@@ -67,20 +89,21 @@
 	endpoints     []*platformtest.Endpoint
 	endpointLinks []*proxy
 	instances     []*instance
+	callTimeout   time.Duration
 	// version is the version of the newest configuration in the store.
 	version int
 }
 
-func newDeployment(t *testing.T, nodes int) *deployment {
+func newDeployment(t *testing.T, o options) *deployment {
 	t.Helper()
-	d := &deployment{store: platformtest.NewStore(), version: 1}
+	d := &deployment{store: platformtest.NewStore(), callTimeout: o.callTimeout}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(func() { _ = server.Config.Close() })
-	d.store.Put(platform.TopicOperators, "config", platformtest.Configuration(d.version))
+	d.configure()
 	for i := range 6 {
 		e := &platformtest.Endpoint{
-			ID: fmt.Sprintf("endpoint-%d", i), Service: platformtest.EngineService, DataCentre: fmt.Sprintf("dc-%d", i%3), Slots: 8, Events: 20,
-			Pause: 15 * time.Millisecond, Work: 10 * time.Millisecond,
+			ID: fmt.Sprintf("endpoint-%d", i), Service: platformtest.EngineService, DataCentre: fmt.Sprintf("dc-%d", i%3), Slots: o.slots,
+			Events: defaultEvents, Pause: 15 * time.Millisecond, Work: o.work,
 		}
 		if i >= 3 {
 			e.Service = platformtest.PlainService
@@ -91,7 +114,7 @@
 		d.store.Put(platform.TopicEndpoints, e.ID, e.Entry(link.address(), "ready"))
 	}
 	folder := t.TempDir()
-	for i := range nodes {
+	for i := range o.nodes {
 		d.instances = append(d.instances, d.newInstance(t, folder, i, server.Listener.Addr().String()))
 	}
 	for _, in := range d.instances {
@@ -100,6 +123,12 @@
 	return d
 }
 
+// configure puts the next version of the configuration into the store.
+func (d *deployment) configure() {
+	d.version++
+	d.store.Put(platform.TopicOperators, "config", platformtest.ConfigurationWithTimeout(d.version, d.callTimeout))
+}
+
 func (d *deployment) newInstance(t *testing.T, folder string, i int, store string) *instance {
 	t.Helper()
 	name := fmt.Sprintf("node-%d", i)
@@ -114,7 +143,7 @@
 		Listen: loader.Listen{Callers: in.callerAddress, Ready: in.readyAddress, Addresses: freeAddress(t), PeerPorts: []int{freePort(t), 65535}},
 		Store:  loader.Store{Address: in.storeLink.address()}, Limits: loader.Limits{MemoryMB: 200},
 		Bounds: loader.Bounds{
-			GraceSeconds: 4, RetryBudgetRatio: 0.2, RetryBudgetSlack: 100, BudgetWindowSeconds: 10, ColdFactor: 1.5, ColdSlack: 5,
+			GraceSeconds: graceSeconds, RetryBudgetRatio: 0.2, RetryBudgetSlack: 100, BudgetWindowSeconds: 10, ColdFactor: 1.5, ColdSlack: 5,
 		},
 		Addresses: loader.Addresses{KeepSeconds: 0.3, LongestKeep: 2}, Log: loader.Log{Level: "info"},
 	}
@@ -183,7 +212,7 @@
 		_ = process.Wait()
 		_ = out.Close()
 		in.mu.Lock()
-		in.process = nil
+		in.process, in.exitCode = nil, process.ProcessState.ExitCode()
 		in.mu.Unlock()
 		close(exited)
 	}()
@@ -225,6 +254,12 @@
 	}
 }
 
+func (in *instance) lastExitCode() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.exitCode
+}
+
 func (in *instance) isReady() bool {
 	response, err := http.Get("http://" + in.readyAddress + platform.ReadyPath)
 	if err != nil {
--- a/internal/proof/soaker/soaker_test.go
+++ b/internal/proof/soaker/soaker_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -39,8 +40,8 @@
 	// outOfServiceLimit bounds the time in which a data centre that was taken out still gets requests. The platform's
 	// specification requires it.
 	outOfServiceLimit = 5 * time.Second
-	// stopLimit is the grace period of the settings, 4 s, plus time for a busy machine to end a process.
-	stopLimit = 6 * time.Second
+	// stopLimit is the grace period of the settings plus time for a busy machine to end a process.
+	stopLimit = graceSeconds*time.Second + 2*time.Second
 	// inFlightLimit covers a refused request that was still on its way to an endpoint when its caller got the refusal.
 	inFlightLimit = time.Second
 	// minServedRatio is the minimum ratio of requests that must be served after recovery.
@@ -49,8 +50,21 @@
 
 // TestSoak guards against failures under random faults of processes, links, store and endpoints: non-idempotent requests that run twice or
 // run although they were refused, wrong or incomplete answers, work for data centres that are out, and deployments that do not recover.
-func TestSoak(t *testing.T) {
-	selected := append([]uint64{}, regressionSeeds...)
+func TestSoak(t *testing.T) { runSeeds(t, regressionSeeds, runSeed) }
+
+// runSeeds calls run for the seeds that the flags select, and for the given ones unless the flags select others.
+func runSeeds(t *testing.T, regressions []uint64, run func(t *testing.T, seed uint64)) {
+	t.Helper()
+	replayed := func(t *testing.T, n uint64) {
+		t.Helper()
+		defer func() {
+			if t.Failed() {
+				t.Logf("replay: go test -count=1 -run '%s' ./internal/proof/soaker -soak.seed %d", testName(t), n)
+			}
+		}()
+		run(t, n)
+	}
+	selected := append([]uint64{}, regressions...)
 	for n := range *seeds {
 		selected = append(selected, uint64(n))
 	}
@@ -60,26 +74,27 @@
 	case *budget > 0:
 		selected = nil
 		for end := time.Now().Add(*budget); time.Now().Before(end); {
-			runSeed(t, rand.Uint64()>>1)
+			replayed(t, rand.Uint64()>>1)
 		}
 	}
 	for _, n := range selected {
 		t.Run(fmt.Sprintf("seed=%d", n), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, n)
+			replayed(t, n)
 		})
 	}
 }
 
+// testName returns the name of a test without the seed.
+func testName(t *testing.T) string {
+	name, _, _ := strings.Cut(t.Name(), "/seed=")
+	return name
+}
+
 // runSeed starts a deployment and callers, injects the faults of a seed, waits for the recovery and checks the results.
 func runSeed(t *testing.T, seed uint64) {
 	t.Helper()
-	defer func() {
-		if t.Failed() {
-			t.Logf("replay: go test -count=1 -run TestSoak ./internal/proof/soaker -soak.seed %d", seed)
-		}
-	}()
-	d := newDeployment(t, *nodes)
+	d := newDeployment(t, options{nodes: *nodes, slots: 8, work: 10 * time.Millisecond, callTimeout: time.Second})
 	defer func() {
 		if t.Failed() {
 			copyLogs(t, d, seed)
@@ -114,14 +129,15 @@
 // copyLogs copies the logs of the nodes to bin/soak, where they outlive the test for the analysis of a failure.
 func copyLogs(t *testing.T, d *deployment, seed uint64) {
 	t.Helper()
-	folder := filepath.Join("..", "..", "..", "bin", "soak", fmt.Sprint(seed))
+	name := filepath.Join("bin", "soak", testName(t), fmt.Sprint(seed))
+	folder := filepath.Join("..", "..", "..", name)
 	assert.Check(t, os.MkdirAll(folder, 0o755))
 	for _, in := range d.instances {
 		data, err := os.ReadFile(in.logPath)
 		assert.Check(t, err)
 		assert.Check(t, os.WriteFile(filepath.Join(folder, filepath.Base(in.logPath)), data, 0o600))
 	}
-	t.Logf("logs are in bin/soak/%d", seed)
+	t.Logf("logs are in %s", name)
 }
 
 // injector injects random faults into a deployment. Each fault has a start and an end, and faults overlap.
@@ -202,8 +218,7 @@
 		return func() { e.SetFault(platformtest.EndpointFault{}) }
 	}},
 	{"configuration", func(inj *injector) func() {
-		inj.deployment.version++
-		inj.deployment.store.Put(platform.TopicOperators, "config", platformtest.Configuration(inj.deployment.version))
+		inj.deployment.configure()
 		return func() {}
 	}},
 	{"data centre out", func(inj *injector) func() {
@@ -271,8 +286,8 @@
 	}
 }
 
-// checkAttempts compares the answers that callers got with the requests that endpoints ran.
-func checkAttempts(t *testing.T, d *deployment, inj *injector, attempts []attempt, recoveredAt time.Time) {
+// checkRuns compares the answers that callers got with the requests that endpoints ran, and returns these by the id of the request.
+func checkRuns(t *testing.T, d *deployment, attempts []attempt) map[string][]platformtest.Run {
 	t.Helper()
 	runs := map[string][]platformtest.Run{}
 	for _, e := range d.endpoints {
@@ -282,7 +297,6 @@
 			assert.Check(t, r.Body == platformtest.Payload(r.Request), "run of %s has body %q", r.Request, r.Body)
 		}
 	}
-	served, afterRecovery := 0, 0
 	for _, a := range attempts {
 		ran := len(runs[a.id])
 		nonIdempotent := strings.HasPrefix(a.path, "/book/")
@@ -292,6 +306,16 @@
 		if a.code == 200 && a.complete {
 			assert.Check(t, hasExpectedBody(a), "%s got a wrong answer: %q", a.id, a.body)
 		}
+	}
+	return runs
+}
+
+// checkAttempts checks the runs, the share of requests that were served after the recovery, and the data centres that were out.
+func checkAttempts(t *testing.T, d *deployment, inj *injector, attempts []attempt, recoveredAt time.Time) {
+	t.Helper()
+	checkRuns(t, d, attempts)
+	served, afterRecovery := 0, 0
+	for _, a := range attempts {
 		if a.sent.After(recoveredAt) {
 			afterRecovery++
 			if a.code == 200 && a.complete {
@@ -310,12 +334,24 @@
 		return strings.HasSuffix(a.body, " answers "+a.id)
 	}
 	var want strings.Builder
-	for n := range 20 {
+	for n := range events(a.path) {
 		want.WriteString(platformtest.Event(n + 1))
 	}
 	return a.body == want.String()
 }
 
+// defaultEvents is the number of events of a stream that does not state its own.
+const defaultEvents = 20
+
+// events returns the number of events of the stream at a path.
+func events(path string) int {
+	_, own, found := strings.Cut(path, "?"+platformtest.EventsParameter+"=")
+	if n, err := strconv.Atoi(own); found && err == nil {
+		return n
+	}
+	return defaultEvents
+}
+
 // checkOutPeriods checks that no request started in a data centre between outOfServiceLimit after it was taken out and its return. It checks
 // nothing in periods that are shorter than outOfServiceLimit.
 func (inj *injector) checkOutPeriods(t *testing.T, d *deployment) {
