Refuse requests that a leaving node can't finish before it stops

Cause: nothing on a request's way knew when the process ends. Admission, queue and placement used the caller's timeout of 10 to 15 s only, while the node cuts off everything 7.75 s after SIGTERM. The class is work that is admitted against the wrong deadline: the caller's instead of the earlier one of the process that does it.

Change: LeaveRequested brings the end of the process into the control state. A leaving node refuses its own requests that are not expected to end before it, when they arrive, while they wait here or at the coordinator, and when a placement comes that is too late. The expected end follows from the declared output and the engine's profile. Requests that arrive after the lifetime of callers' addresses are taken only if their timeout ends before. The refusal says that the request did not run, and sends the caller to another node at once, or back after the restart if there is none. The rest of a stream whose header was sent is never refused.

Ruled out: a stricter expectation (1.5 times the declared output) and a stricter one only while no other node serves.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -202,15 +202,15 @@
 func (n *Node) leave(ctx context.Context) {
 	began := time.Now()
 	n.observer.Lifecycle(modeler.LogEventNodeLeaving, modeler.LogField{Key: "Active", Value: n.active.Load()})
-	n.loop.Post(modeler.LeaveRequested{})
 	grace := loader.Seconds(n.settings.Bounds.GraceSeconds) - stopMargin
-	addressLifetime := loader.Seconds(n.settings.Addresses.KeepSeconds*n.settings.Addresses.LongestKeep) + stopMargin
+	addressLifetime := loader.Seconds(n.settings.Addresses.KeepSeconds * n.settings.Addresses.LongestKeep)
+	n.loop.Post(modeler.LeaveRequested{AddressUntil: began.Add(addressLifetime), StopAt: began.Add(grace)})
 	const interval = 50 * time.Millisecond
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		elapsed := time.Since(began)
-		if elapsed >= grace || elapsed >= addressLifetime && n.active.Load() == 0 {
+		if elapsed >= grace || elapsed >= addressLifetime+stopMargin && n.active.Load() == 0 {
 			return
 		}
 		select {
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -64,7 +64,7 @@
 			mergeNode(world, e.Node)
 			s.nextHello = tick.Now
 		case modeler.LeaveRequested:
-			world.Self = world.Self.WithLeaving(true)
+			world.Self, world.AddressUntil, world.StopAt = world.Self.WithLeaving(true), e.AddressUntil, e.StopAt
 			s.nextBeat, s.nextHello = tick.Now, tick.Now
 		case modeler.PeerReceived:
 			s.handleMessage(tick, world, e.Message)
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -283,8 +283,8 @@
 	request := modeler.Request{
 		ID:   modeler.RequestID(string(call.Fields.ID) + "/" + strconv.Itoa(p.attempts) + "/" + strconv.FormatUint(f.Self.Incarnation%1e4, 36)),
 		Node: f.Self.ID, Service: call.Service.ID, Kind: call.Route.Kind, Prompt: call.Fields.Prompt, Output: call.Fields.Output,
-		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: f.callerDeadline(p), Gap: call.Route.GapTarget,
-		Priority: priority, Fingerprint: call.Fingerprint, Tried: p.tried, DataCentre: f.Self.DataCentre,
+		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: f.callerDeadline(p),
+		RunsUntil: p.deadline, Gap: call.Route.GapTarget, Priority: priority, Fingerprint: call.Fingerprint, Tried: p.tried, DataCentre: f.Self.DataCentre,
 	}
 	if p.headerSent {
 		return f.resumeRequest(request, call.Route, p.deadline)
@@ -296,6 +296,7 @@
 // would count as late at once, and other requests would be placed before it.
 func (f *Forwarder) resumeRequest(request modeler.Request, route modeler.Route, deadline time.Time) modeler.Request {
 	now := time.Now()
+	request.Resumes = true
 	request.Arrived, request.Due, request.Deadline = now, now.Add(route.Target), now.Add(streamWaitLimit(route))
 	if deadline.Before(request.Deadline) {
 		request.Deadline = deadline
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -87,8 +87,9 @@
 
 	// PeerReceived carries a message from another node.
 	PeerReceived struct{ Message Message }
-	// LeaveRequested reports that this node is shutting down.
-	LeaveRequested struct{}
+	// LeaveRequested reports that this node is shutting down. Callers may use its address until AddressUntil, and at StopAt it cuts off the
+	// requests that are still running.
+	LeaveRequested struct{ AddressUntil, StopAt time.Time }
 )
 
 func (ConfigurationChanged) event() {}
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -17,14 +17,18 @@
 	Arrived time.Time
 	// Due is when the response, or the first event of a stream, counts as late.
 	Due time.Time
-	// Deadline is the end of the caller's or the route's timeout.
+	// Deadline is the end of the caller's or the route's timeout. For a stream, it is when the caller leaves if it has got no further event.
 	Deadline time.Time
+	// RunsUntil is the end of the caller's or the route's timeout for the whole answer. It is not sent to other nodes.
+	RunsUntil time.Time
 	// Gap is the target for the longest gap between two events.
 	Gap         time.Duration
 	Priority    int
 	Fingerprint Fingerprint
 	// Tried holds the endpoints on which this request has already failed. It must not be modified.
 	Tried []EndpointID
+	// Resumes is set for the rest of a stream whose header was sent. It is not sent to other nodes.
+	Resumes bool
 	// DataCentre is the data centre of the node that received the request.
 	DataCentre DataCentreID
 	// WeightFactor multiplies the weight of the request. It is above 1 for classes of requests that meet their target less often than
@@ -133,6 +137,8 @@
 	ReasonQuarantined RefusalReason = "Quarantined"
 	// ReasonBudget means that the retry budget is used up.
 	ReasonBudget RefusalReason = "RetryBudget"
+	// ReasonLeaving means that the node stops before the request could end.
+	ReasonLeaving RefusalReason = "Leaving"
 	// ReasonNoConfiguration means that the node has not read a configuration yet.
 	ReasonNoConfiguration RefusalReason = "NoConfiguration"
 )
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -11,6 +11,9 @@
 type World struct {
 	// Self is this node.
 	Self Node
+	// AddressUntil is until when callers may use the address of this node, and StopAt when it cuts off the requests that are still running. Both
+	// are zero unless the node is leaving.
+	AddressUntil, StopAt time.Time
 	// Coordinator is the node that coordinates placement. It is empty until the first election.
 	Coordinator NodeID
 	// CoordinatorSince is when Coordinator last changed.
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -69,12 +69,17 @@
 			s.handleMessage(tick, world, e.Message)
 		}
 	}
+	s.refuseUnfinishable(tick, world)
 	s.retryForwarded(tick, world)
 	s.placeWaiting(tick, world)
 	s.sweep(tick, world)
 }
 
 func (s *System) handlePlacementRequested(tick *modeler.Tick, world *modeler.World, request modeler.Request) {
+	if !canFinish(tick.Now, world, request) {
+		s.refuseLeaving(tick, world, modeler.Waiting{Request: request, Since: tick.Now})
+		return
+	}
 	service, known := world.Configuration.Service(request.Service)
 	placing, ok := elector.PlacingNode(world, tick.Now)
 	if !ok || !known || !service.IsEngine() {
@@ -162,9 +167,7 @@
 	if !ok {
 		// The request was placed locally or cancelled in the meantime. Release the coordinator's assignment unless it is in use.
 		if a, ok := world.Assignments.Get(body.ID); !body.Decision.Refused && (!ok || a.Plan.Endpoint.ID != body.Decision.Plan.Endpoint.ID) {
-			if peer, ok := world.Nodes.Get(from); ok {
-				s.send(tick, world, peer, modeler.Ended{ID: body.ID, Endpoint: body.Decision.Plan.Endpoint.ID, Outcome: modeler.Abandoned})
-			}
+			s.releaseGrant(tick, world, from, body)
 		}
 		return
 	}
@@ -177,12 +180,24 @@
 			s.wait(world, modeler.Waiting{Request: entry.Request, Since: tick.Now})
 			return
 		}
+		if !endsInTime(tick.Now, world, entry.Request, plan.TimeToFirstEvent) {
+			s.releaseGrant(tick, world, from, body)
+			s.refuseLeaving(tick, world, modeler.Waiting{Request: entry.Request, Since: entry.Request.Arrived})
+			return
+		}
 		decision.Plan = plan
 		s.assign(tick, world, entry.Request, plan)
 	}
 	tick.Emit(modeler.Reply{ID: body.ID, Decision: decision})
 }
 
+// releaseGrant tells the node that made a placement that it is not used.
+func (s *System) releaseGrant(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, grant modeler.Granted) {
+	if peer, ok := world.Nodes.Get(from); ok {
+		s.send(tick, world, peer, modeler.Ended{ID: grant.ID, Endpoint: grant.Decision.Plan.Endpoint.ID, Outcome: modeler.Abandoned})
+	}
+}
+
 // resolve replaces the endpoint IDs in a plan from another node by this node's table entries. It returns false if an endpoint is unknown or
 // must not get requests.
 func (s *System) resolve(now time.Time, world *modeler.World, plan modeler.Plan) (modeler.Plan, bool) {
@@ -246,6 +261,9 @@
 
 func (s *System) sendDecision(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting, decision modeler.Decision) {
 	request := entry.Request
+	if !decision.Refused && !endsInTime(tick.Now, world, request, decision.Plan.TimeToFirstEvent) {
+		decision = leavingRefusal(tick.Now, world)
+	}
 	s.onTime.record(request, !decision.Refused && !decision.Plan.Late)
 	if !decision.Refused {
 		s.assign(tick, world, request, decision.Plan)
