Answer requests whose answer has not begun when a node stops

Cause: the process closed all connections at once, and the handlers took the end of their context for a caller that had left. The class is an exit that races with the answers of its own handlers.

Change: requests that still run get the cause ErrStopping 250 ms before the end of the grace period, and up to 150 ms to answer: 503 if the request has not run, else a failure that an endpoint had sent, or 502. Only a stream that has begun is cut off, and is the only one with the status Stopped.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -44,8 +44,10 @@
 	memoryFraction = 0.6
 	// maxIdleConnections bounds the idle connections to one endpoint.
 	maxIdleConnections = 16
-	// stopMargin is how long before the end of the grace period the process ends requests that are still running.
-	stopMargin = 250 * time.Millisecond
+	// stopMargin is how long before the end of the grace period the process ends requests that are still running. Within answerMargin of it, those
+	// whose answer has not begun are answered.
+	stopMargin   = 250 * time.Millisecond
+	answerMargin = 150 * time.Millisecond
 	// callerIdleTimeout is how long an idle connection of a caller is kept if the operators state no shorter time.
 	callerIdleTimeout = 10 * time.Minute
 	// headerTimeout bounds how long a caller may take to send the header of a request.
@@ -156,6 +158,7 @@
 		case <-running.Done():
 		}
 		cutOff(forwarder.ErrStopping)
+		n.awaitIdle(running, answerMargin)
 		err := closePeers()
 		for _, s := range servers {
 			err = errors.Join(err, s.close())
@@ -221,6 +224,22 @@
 	}
 }
 
+// awaitIdle waits until no request is running, but at most for limit.
+func (n *Node) awaitIdle(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	const interval = 5 * time.Millisecond
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for n.active.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // checkSettings checks the settings file after each signal that it has changed, and logs the findings.
 func (n *Node) checkSettings(ctx context.Context, process Process) error {
 	for {
--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -235,6 +235,45 @@
 	assert.Assert(t, n.call("/stock/1", "after shutdown").err != nil)
 }
 
+// TestStopAnswers guards against a node that closes the connections of requests without an answer when its grace period ends.
+func TestStopAnswers(t *testing.T) {
+	tests := []struct {
+		path string
+		want int
+	}{
+		{"/book/1", http.StatusBadGateway},
+		{"/stock/1", http.StatusBadGateway},
+		{"/stream/1", http.StatusBadGateway},
+	}
+	s := newSite(t)
+	s.store.Put(platform.TopicOperators, "config", platformtest.ConfigurationWithTimeout(2, 10*time.Second))
+	n := s.start(t, "n1", "dc-a")
+	waitFor(t, func() bool { return n.call("/stock/1", "first").code == http.StatusOK })
+	for _, e := range s.endpoints {
+		e.SetFault(platformtest.EndpointFault{Silent: true})
+	}
+	answers := make([]answer, len(tests))
+	var calls sync.WaitGroup
+	for i, tt := range tests {
+		calls.Go(func() { answers[i] = n.call(tt.path, fmt.Sprint("silent-", i)) })
+	}
+	waitFor(t, func() bool {
+		ran := map[string]bool{}
+		for _, e := range s.endpoints {
+			for _, r := range e.Runs() {
+				ran[r.Request] = true
+			}
+		}
+		return len(ran) == len(tests)+1
+	})
+	assert.NilError(t, n.stop())
+	calls.Wait()
+	for i, tt := range tests {
+		assert.NilError(t, answers[i].err, tt.path)
+		assert.Equal(t, answers[i].code, tt.want, tt.path)
+	}
+}
+
 // TestStoreUnavailable guards against a node that stops serving while the store is unavailable, or misses changes afterwards.
 func TestStoreUnavailable(t *testing.T) {
 	tests := []struct {
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -68,11 +68,12 @@
 	Interrupted
 	// Left: the caller closed its connection.
 	Left
-	// Stopped: this node has stopped and cut off the request.
+	// Stopped: this node has stopped and cut off a stream whose header was sent.
 	Stopped
 )
 
-// ErrStopping is the cause with which the context of Serve is cancelled when the node stops and cuts off the requests that are still running.
+// ErrStopping is the cause with which the context of Serve is cancelled when the node stops. The callers of requests whose answer has not begun
+// still get an answer.
 var ErrStopping = errors.New("the node is stopping")
 
 // String implements fmt.Stringer.
@@ -171,7 +172,7 @@
 	defer cancel()
 	f.Budget.AddRequest(call.Service.ID)
 	f.runAttempts(ctx, p, sink)
-	if p.failedAnswer != nil && !p.headerSent && !errors.Is(ctx.Err(), context.Canceled) {
+	if p.failedAnswer != nil && !p.headerSent && !callerLeft(ctx) {
 		p.failedAnswer.deliver(p, sink)
 	}
 	return f.finalResult(ctx, p)
@@ -340,10 +341,10 @@
 	overdue := time.Until(p.deadline) < minAttemptTime
 	switch {
 	case r.Status == Delivered && r.Code != 0:
-	case errors.Is(context.Cause(ctx), ErrStopping):
-		r.Status = Stopped
-	case errors.Is(ctx.Err(), context.Canceled):
+	case callerLeft(ctx):
 		r.Status = Left
+	case p.headerSent && stopping(ctx):
+		r.Status = Stopped
 	case p.headerSent:
 		r.Status = Interrupted
 	case p.mayHaveRun && overdue:
@@ -355,6 +356,9 @@
 		if r.RetryAfter <= 0 {
 			r.RetryAfter = refusedRetryAfter
 		}
+		if r.Reason == "" && stopping(ctx) {
+			r.Reason = modeler.ReasonLeaving
+		}
 		if r.Reason == "" {
 			r.Reason = modeler.ReasonOverloaded
 		}
@@ -362,5 +366,13 @@
 	return r
 }
 
+// callerLeft reports whether the context of a call was cancelled because its caller has disconnected.
+func callerLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !stopping(ctx)
+}
+
+// stopping reports whether the context of a call was cancelled because the node stops.
+func stopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
 // refusedRetryAfter is the Retry-After of a refusal whose decision stated none. It covers a few passes of an engine.
 const refusedRetryAfter = 300 * time.Millisecond
