Read the length of a planned stop from the node's log

In 191 stops of such runs, also of earlier ones without load, the nodes' logs have at most 3.811 s between NodeLeaving and NodeStopped.

Ruled out: a longer bound on the grace period itself, which the platform sets.

--- a/internal/proof/soaker/deployment_test.go
+++ b/internal/proof/soaker/deployment_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,6 +22,7 @@
 	"gotest.tools/v3/assert"
 
 	"damaskpick.example/damaskpick/internal/fleet/loader"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/platform"
 	"damaskpick.example/damaskpick/platform/platformtest"
 )
@@ -260,6 +262,38 @@
 	return in.exitCode
 }
 
+// leaveDuration returns the time from SIGTERM to the end of the last process that has exited, by the events in its log. The times at which the
+// test sends the signal and notices the exit are later on a busy machine.
+func (in *instance) leaveDuration() (time.Duration, error) {
+	data, err := os.ReadFile(in.logPath)
+	if err != nil {
+		return 0, err
+	}
+	began, err := lastEvent(string(data), modeler.LogEventNodeLeaving)
+	if err != nil {
+		return 0, err
+	}
+	ended, err := lastEvent(string(data), modeler.LogEventNodeStopped)
+	return ended.Sub(began), err
+}
+
+// lastEvent returns the time of the last event of a name in a log.
+func lastEvent(log string, name modeler.LogEventName) (time.Time, error) {
+	before, _, found := cutLast(log, " level=info message="+string(name)+" ")
+	if !found {
+		return time.Time{}, fmt.Errorf("the log has no event %s", name)
+	}
+	_, value, _ := cutLast(before, "time=")
+	return time.Parse(time.RFC3339Nano, value)
+}
+
+func cutLast(s, separator string) (before, after string, found bool) {
+	if i := strings.LastIndex(s, separator); i >= 0 {
+		return s[:i], s[i+len(separator):], true
+	}
+	return s, "", false
+}
+
 func (in *instance) isReady() bool {
 	response, err := http.Get("http://" + in.readyAddress + platform.ReadyPath)
 	if err != nil {
