Drain the connections of a stopping node instead of closing them

Cause: the process ended when no request was running, and closed all connections at once. Between that check and the close, a request may be read; http.Server.Shutdown has the same gap, since a connection counts as idle until its whole header is read. The class is a check that is no longer true when it is acted on.

Change: the servers of a stopping node use web/drainer. It accepts no further connections, ends those that send no byte of a request within 50 ms by their read deadline, and waits for the others until the node's stop. Requests that are read meanwhile are served, or refused, as before.

Evidence: TestDrain fails if connections are closed instead of limited.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -12,6 +12,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -154,11 +155,12 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			n.leave(running)
+			stopAt := n.leave(running)
+			stopServers(running, stopAt, servers)
+			cutOff(forwarder.ErrStopping)
+			stopServers(running, stopAt.Add(answerMargin), servers)
 		case <-running.Done():
 		}
-		cutOff(forwarder.ErrStopping)
-		n.awaitIdle(running, answerMargin)
 		err := closePeers()
 		for _, s := range servers {
 			err = errors.Join(err, s.close())
@@ -201,43 +203,39 @@
 }
 
 // leave announces that the node is leaving, and waits while the node still serves requests. It returns when callers no longer use the node's
-// address and no request is running, but at the latest stopMargin before the end of the grace period.
-func (n *Node) leave(ctx context.Context) {
+// address and no request is running, but at the latest stopMargin before the end of the grace period, the time which it returns.
+func (n *Node) leave(ctx context.Context) time.Time {
 	began := time.Now()
 	n.observer.Lifecycle(modeler.LogEventNodeLeaving, modeler.LogField{Key: "Active", Value: n.active.Load()})
 	grace := loader.Seconds(n.settings.Bounds.GraceSeconds) - stopMargin
 	addressLifetime := loader.Seconds(n.settings.Addresses.KeepSeconds * n.settings.Addresses.LongestKeep)
-	n.loop.Post(modeler.LeaveRequested{AddressUntil: began.Add(addressLifetime), StopAt: began.Add(grace)})
+	stopAt := began.Add(grace)
+	n.loop.Post(modeler.LeaveRequested{AddressUntil: began.Add(addressLifetime), StopAt: stopAt})
 	const interval = 50 * time.Millisecond
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		elapsed := time.Since(began)
 		if elapsed >= grace || elapsed >= addressLifetime+stopMargin && n.active.Load() == 0 {
-			return
+			return stopAt
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return
+			return stopAt
 		}
 	}
 }
 
-// awaitIdle waits until no request is running, but at most for limit.
-func (n *Node) awaitIdle(ctx context.Context, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// stopServers stops the servers and returns when the last connection has ended, but at the latest at until.
+func stopServers(ctx context.Context, until time.Time, servers []server) {
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	const interval = 5 * time.Millisecond
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for n.active.Load() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	var stopping sync.WaitGroup
+	for _, s := range servers {
+		stopping.Go(func() { s.stop(ctx) })
 	}
+	stopping.Wait()
 }
 
 // checkSettings checks the settings file after each signal that it has changed, and logs the findings.
--- a/internal/fleet/assembler/server.go
+++ b/internal/fleet/assembler/server.go
@@ -6,14 +6,21 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/listener"
+	"damaskpick.example/damaskpick/internal/web/drainer"
 )
 
+// requestLinger is how long a stopping node leaves a connection for another request: several round trips to callers, since a caller may not know
+// yet that the node stops.
+const requestLinger = 50 * time.Millisecond
+
 // server is an HTTP server with its open listener.
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	drainer  *drainer.Drainer
 }
 
 // listen opens listeners on all addresses before any request is served. If one fails, it closes the others and returns the error.
@@ -27,9 +34,13 @@
 			}
 			return nil, fmt.Errorf("listen on %s: %w", address, err)
 		}
-		servers = append(servers, server{listener: l, http: &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ConnState: idleCloser.Track,
+		drain := drainer.New()
+		servers = append(servers, server{listener: drain.Listener(l), drainer: drain, http: &http.Server{
+			Handler: drain.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ConnState: func(conn net.Conn, state http.ConnState) {
+				idleCloser.Track(conn, state)
+				drain.Track(conn, state)
+			},
 		}})
 	}
 	return servers, nil
@@ -56,11 +67,20 @@
 	handler.ServeHTTP(w, r)
 }
 
+// serve accepts connections until stop or close is called.
 func (s server) serve() error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
 }
 
+// stop accepts no further connections, ends those without a request and waits for the others until ctx ends.
+func (s server) stop(ctx context.Context) {
+	// An error means that the listener is closed already.
+	_ = s.listener.Close()
+	// An error means that ctx has ended. The requests that still run are cut off by the caller.
+	_ = s.drainer.Drain(ctx, requestLinger)
+}
+
 func (s server) close() error { return s.http.Close() }
