Handle SIGHUP before the settings are read and until the exit

A SIGHUP is planned work, and callers of a node that had just begun to serve would have lost their requests.

Cause: the signal was handled only after the settings were read, and until the return of Run. Without a handler it ends the process.

Change: it is handled from the start of the command on, and never given back. The time until the Go program runs its first line remains.

--- a/cmd/fleet.go
+++ b/cmd/fleet.go
@@ -33,6 +33,9 @@
 	if err := rejectArguments(args); err != nil {
 		return err
 	}
+	// SIGHUP ends a process that does not handle it, so it is handled from the start, and until the process has exited.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := loader.Load(string(c.Settings))
 	if err != nil {
 		return err
@@ -43,9 +46,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	return assembler.Run(ctx, settings, assembler.Process{
 		Out:             c.env.Out,
 		SettingsChanged: hangup,
