Answer requests that a node reads while its server stops

Callers saw: a request sent just as a node's server closed ended without an answer, though the process had read it, in whole or in part. The same happened to the next request after an answer that had begun before the stop, because that answer did not announce the end of its connection.

Cause: http.Server.Shutdown closes connections that it regards as idle, which they are until the whole header is read, and the server drops each request whose header is read after the call. It is the check of a state that can change before the action that follows from it.

Change: Server.Stop closes the listener, waits until Serve has returned, and then drains the connections with web/drainer. Answers that begin during the stop end their connections; connections without a request end after stopLinger (500 ms), so a stop with idle connections takes that much longer. Shutdown is no longer called.

TestStop learnt from RegisterOnShutdown that the listener was closed. It now learns it from the listener itself, which is as strict: the dial that must fail follows the same event.

--- a/internal/web/listener/listener.go
+++ b/internal/web/listener/listener.go
@@ -9,11 +9,13 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"damaskpick.example/damaskpick/internal/settings/loader"
+	"damaskpick.example/damaskpick/internal/web/drainer"
 )
 
 // Options configure a Server. Address and Handler are required.
@@ -42,11 +44,20 @@
 	DefaultIdleTimeout = time.Minute
 )
 
+// stopLinger is how long Stop leaves an idle connection for another request. It covers a round trip between distant data centres, so that
+// a caller that sends one request after another learns of the end of its connection from an answer.
+const stopLinger = 500 * time.Millisecond
+
 // Server is an HTTP server that accepts connections until Stop or the clean-up function is called.
 type Server struct {
 	server   *http.Server
 	listener net.Listener
+	drainer  *drainer.Drainer
 	failed   chan error
+	// stopping is set before Stop closes the listener.
+	stopping atomic.Bool
+	// accepted is closed once no more connections are accepted.
+	accepted chan struct{}
 }
 
 // Listen starts a server. The clean-up function closes all connections immediately; call Stop first for a graceful stop.
@@ -59,6 +70,8 @@
 	if options.WrapListener != nil {
 		inner = options.WrapListener(inner)
 	}
+	connections := drainer.New()
+	inner = connections.Listener(inner)
 	if options.Keys != (loader.KeyFiles{}) {
 		keys, err := NewKeys(options.Keys, options.Log)
 		if err != nil {
@@ -66,7 +79,10 @@
 		}
 		inner = tls.NewListener(inner, keys.ServerConfig())
 	}
-	s := &Server{server: newServer(options), listener: inner, failed: make(chan error, 1)}
+	s := &Server{
+		server: newServer(options, connections), listener: inner, drainer: connections,
+		failed: make(chan error, 1), accepted: make(chan struct{}),
+	}
 	go s.serve()
 	return s, func() { _ = s.server.Close() }, nil
 }
@@ -83,24 +99,26 @@
 	}
 }
 
-func newServer(o Options) *http.Server {
+func newServer(o Options, connections *drainer.Drainer) *http.Server {
 	// HTTP/2 is disabled for two reasons: a write deadline would also end streams that wait for the next token, and a caller that stops
 	// reading one stream would block the other streams of its connection.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Server{
-		Handler:           o.Handler,
+		Handler:           connections.Handler(o.Handler),
 		MaxHeaderBytes:    o.HeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		Protocols:         protocols,
+		ConnState:         connections.Track,
 		// net/http logs failed handshakes and panics of handlers here.
 		ErrorLog: log.New(warnWriter{o.Log}, "", 0),
 	}
 }
 
 func (s *Server) serve() {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	defer close(s.accepted)
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !s.stopping.Load() {
 		s.failed <- fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
 	}
 }
@@ -111,9 +129,14 @@
 // Failed returns a channel that receives an error if the server ends other than by Stop or the clean-up function.
 func (s *Server) Failed() <-chan error { return s.failed }
 
-// Stop closes the listener and returns when the last request has ended, or the error of ctx if that comes first.
+// Stop closes the listener and returns when the last connection has ended, or the error of ctx if that comes first. Answers end their
+// connections, and connections without a request end after stopLinger.
 func (s *Server) Stop(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
+	s.stopping.Store(true)
+	err := s.listener.Close()
+	<-s.accepted
+	// http.Server.Shutdown would drop requests whose header is read after the call.
+	if err = errors.Join(err, s.drainer.Drain(ctx, stopLinger)); err != nil {
 		return fmt.Errorf("stop %s: %w", s.listener.Addr(), err)
 	}
 	return nil
--- a/internal/web/listener/listener_test.go
+++ b/internal/web/listener/listener_test.go
@@ -158,14 +158,15 @@
 		{"deadline exceeded", 20 * time.Millisecond, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			begun, closed, finish := make(chan struct{}), make(chan struct{}), make(chan struct{})
-			server := listen(t, Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			begun, finish := make(chan struct{}), make(chan struct{})
+			observed := newObservedListener()
+			wrap := func(l net.Listener) net.Listener { observed.Listener = l; return observed }
+			server := listen(t, Options{WrapListener: wrap, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				assert.NilError(t, http.NewResponseController(w).Flush())
 				close(begun)
 				<-finish
 				_, _ = io.WriteString(w, "last token")
 			})})
-			server.server.RegisterOnShutdown(func() { close(closed) })
 			response, err := http.Get("http://" + server.Address())
 			assert.NilError(t, err)
 			defer func() { _ = response.Body.Close() }()
@@ -179,7 +180,7 @@
 				close(finish)
 				return
 			}
-			<-closed
+			<-observed.closed
 			_, err = net.Dial("tcp", server.Address())
 			assert.ErrorContains(t, err, "refused")
 			close(finish)
