Answer late requests before a planned stop ends

Callers saw: a request that a node took late in its planned stop waited, for an endpoint or for its engine, until Timeouts.Stop was over, and its connection then ended without an answer.

Cause: the deadline of a request did not depend on the end of the stop. The node takes requests for AddressLifetime and gossipSpreadTime after the signal, and the latter is in no setting, so the request timeout alone does not keep them within the stop.

Change: when the stop begins, the forwarder gets the latest deadline of the requests that arrive from then on, 1 s before Timeouts.Stop is over. A request that has not ended by then gets the usual answer for a passed deadline, and a stream that has begun gets it as its last event. Requests that arrived before the signal end within Request and keep their deadline.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -61,6 +61,10 @@
 // the port closed.
 const gossipSpreadTime = modeler.FenceTimeout
 
+// answerTime is the time between the latest deadline of a request and the end of Timeouts.Stop, in which its answer is written and its
+// connection ends.
+const answerTime = time.Second
+
 // runNode runs one incarnation.
 func runNode(ctx context.Context, settings loader.Settings, log zerolog.Logger) error {
 	n, cleanup, err := newNode(settings, log)
@@ -103,6 +107,9 @@
 	deadline, cancel := context.WithTimeout(context.Background(), timeouts.Stop.Std())
 	defer cancel()
 	n.log.Info().Dur("deadline", timeouts.Stop.Std()).Msg("starting graceful stop")
+	if end, ok := deadline.Deadline(); ok {
+		n.forwarder.EndBy(end.Add(-answerTime))
+	}
 	n.requestStop()
 	if !waitFor(deadline, time.After(timeouts.AddressLifetime.Std()+gossipSpreadTime)) {
 		return errStopTimedOut
--- a/internal/traffic/forwarder/forwarder.go
+++ b/internal/traffic/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -87,6 +88,8 @@
 type Forwarder struct {
 	Options
 	cancels sync.WaitGroup
+	// latestEnd is the time that EndBy has set, or nil.
+	latestEnd atomic.Pointer[time.Time]
 }
 
 // New returns a Forwarder with the defaults for unset options.
@@ -106,13 +109,20 @@
 // Wait waits for the cancel requests that run in the background. It must be called after the last request has ended.
 func (f *Forwarder) Wait() { f.cancels.Wait() }
 
+// EndBy sets the latest deadline of the requests that arrive from now on. A stopping node sets it so that each of them gets an answer.
+func (f *Forwarder) EndBy(at time.Time) { f.latestEnd.Store(&at) }
+
 // deadline returns the time by which a request that arrived now must have ended. A positive timeout applies if it is shorter than
 // RequestTimeout.
 func (f *Forwarder) deadline(now time.Time, timeout time.Duration) time.Time {
-	if timeout > 0 && timeout < f.RequestTimeout {
-		return now.Add(timeout)
+	if timeout <= 0 || timeout > f.RequestTimeout {
+		timeout = f.RequestTimeout
+	}
+	deadline := now.Add(timeout)
+	if latest := f.latestEnd.Load(); latest != nil && latest.Before(deadline) {
+		return *latest
 	}
-	return now.Add(f.RequestTimeout)
+	return deadline
 }
 
 type nopObserver struct{}
