Drain only after the servers of a node have stopped accepting

A connection that was accepted as the listener closed could miss the drain: it was counted only once the server had begun to serve it, and the node closed it with its request. The servers now wait until Serve has returned, as web/listener does. Found by reading drainer's contract; the gap is too short for a test of real processes, and none was seen to fail.

--- a/internal/fleet/assembler/server.go
+++ b/internal/fleet/assembler/server.go
@@ -21,6 +21,8 @@
 	http     *http.Server
 	listener net.Listener
 	drainer  *drainer.Drainer
+	// accepted is closed once no more connections are accepted.
+	accepted chan struct{}
 }
 
 // listen opens listeners on all addresses before any request is served. If one fails, it closes the others and returns the error.
@@ -35,7 +37,7 @@
 			return nil, fmt.Errorf("listen on %s: %w", address, err)
 		}
 		drain := drainer.New()
-		servers = append(servers, server{listener: drain.Listener(l), drainer: drain, http: &http.Server{
+		servers = append(servers, server{listener: drain.Listener(l), drainer: drain, accepted: make(chan struct{}), http: &http.Server{
 			Handler: drain.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ConnState: func(conn net.Conn, state http.ConnState) {
 				idleCloser.Track(conn, state)
@@ -69,6 +71,7 @@
 
 // serve accepts connections until stop or close is called.
 func (s server) serve() error {
+	defer close(s.accepted)
 	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
@@ -79,6 +82,7 @@
 func (s server) stop(ctx context.Context) {
 	// An error means that the listener is closed already.
 	_ = s.listener.Close()
+	<-s.accepted
 	// An error means that ctx has ended. The requests that still run are cut off by the caller.
 	_ = s.drainer.Drain(ctx, requestLinger)
 }
