Do not take a response without an id from a connection that was used before

What callers would see: an engine sends a second copy of an answer late, without a Request-Id, just after the next request was sent on the connection; the next caller gets the earlier caller's answer as a success. Cause: a response without an id counted as the response to whatever request was sent last. On a new connection there is only one; on a kept one the id alone tells. Change: on a kept connection such a response is garbled and the connection is closed. A refusal without an id is no exception: the request itself may still run. Ruled out: skipping it and waiting for the own response, since an engine that never echoes ids would then hold each request until its timeout. Evidence: TestLateCopies failed in three of its cases without an id; the other seven, with an id or with a copy that arrives while the connection is idle, passed before. Measured: TestLateCopies passes three times in a row with -race.

--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -115,6 +115,9 @@
 	return b.Bytes()
 }
 
+// Reused reports whether the connection carried an earlier request.
+func (x *Exchange) Reused() bool { return x.conn.Reused }
+
 // Response is an endpoint's response. Its body is read from the connection, which Exchange.Close closes or returns to the pool.
 type Response struct {
 	StatusCode int
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -73,6 +73,11 @@
 		return f.classifyReadError(ctx, p, guard, err)
 	}
 	fields := f.Protocol.ResponseFields(response.StatusCode, response.Header)
+	if fields.RequestID != p.call.Fields.ID && exchange.Reused() {
+		// Without an id, it may be a late copy of the response to an earlier request on the connection.
+		f.countPossibleRun(p)
+		return modeler.Garbled
+	}
 	if fields.NotRun {
 		complete = exchange.Drain(response)
 		p.faultyHelper = findHelper(plan, fields.FaultyEngine)
