Split streams into events by lines that end with LF or CRLF

What callers would see: no event of an engine whose lines end with CRLF until the stream ends, then 502 or the whole stream once more from another engine; a stream with one more empty line after its last event ends as broken off. Cause: an event ended only at two LF in a row, and any byte after the last one counted as the beginning of an event. Change: the reader goes on line by line; an empty line, "\n" or "\r\n", ends an event. It remembers the lines that it has searched, so that an endless event of short lines is not searched again after each read. A stream cut between "\r" and "\n" of the empty line is still broken off. Ruled out: lone CR as the end of a line, which the format allows too, since an event could then be passed on only once the byte after its end has arrived.

--- a/internal/fleet/forwarder/event.go
+++ b/internal/fleet/forwarder/event.go
@@ -15,12 +15,15 @@
 	id   string
 }
 
-// eventReader splits a stream into events.
+// eventReader splits a stream into events. Lines end with "\n" or "\r\n".
 type eventReader struct {
 	source io.Reader
 	buffer []byte
 	// start and end delimit the bytes of buffer that were read but not returned yet.
 	start, end int
+	// line is where the first line begins that was not searched yet, and complete is set if the event from start to line is complete.
+	line     int
+	complete bool
 }
 
 // eventBufferSize is the initial size of the buffer in bytes. It holds a typical event; larger ones grow the buffer.
@@ -30,22 +33,32 @@
 	return &eventReader{source: source, buffer: make([]byte, eventBufferSize)}
 }
 
-var eventEnd = []byte("\n\n")
-
-// buffered reports whether another complete event is in the buffer.
-func (r *eventReader) buffered() bool { return bytes.Contains(r.buffer[r.start:r.end], eventEnd) }
+// buffered reports whether a complete event is in the buffer.
+func (r *eventReader) buffered() bool {
+	for !r.complete {
+		size := bytes.IndexByte(r.buffer[r.line:r.end], '\n')
+		if size < 0 {
+			return false
+		}
+		line := r.buffer[r.line : r.line+size]
+		r.line += size + 1
+		r.complete = len(bytes.TrimSuffix(line, []byte("\r"))) == 0
+	}
+	return true
+}
 
 // next returns the next event, whose data is valid until the next call. It returns io.EOF at the end of the stream, and errTruncatedEvent if
 // the stream ends inside an event or the event is larger than maxAnswerBytes.
 func (r *eventReader) next() (event, error) {
 	for {
-		if at := bytes.Index(r.buffer[r.start:r.end], eventEnd); at >= 0 {
-			data := r.buffer[r.start : r.start+at+len(eventEnd)]
-			r.start += len(data)
+		if r.buffered() {
+			data := r.buffer[r.start:r.line]
+			r.start, r.complete = r.line, false
 			return event{data: data, id: eventID(data)}, nil
 		}
 		if r.start > 0 {
 			r.end = copy(r.buffer, r.buffer[r.start:r.end])
+			r.line -= r.start
 			r.start = 0
 		}
 		if r.end == len(r.buffer) {
--- a/internal/fleet/forwarder/event_test.go
+++ b/internal/fleet/forwarder/event_test.go
@@ -23,6 +23,9 @@
 		{"without id", "data: a\n\n", []string{""}, io.EOF},
 		{"first line of the platform", "weight-versions: 4\nid: 7\ndata: a\n\n", []string{"7"}, io.EOF},
 		{"truncated inside an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, errTruncatedEvent},
+		{"lines end with CRLF", "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", []string{"1", "2"}, io.EOF},
+		{"truncated inside CRLF", "id: 1\r\n\r\nid: 2\r\n\r", []string{"1"}, errTruncatedEvent},
+		{"empty lines", "id: 1\n\n\n\r\n", []string{"1", "", ""}, io.EOF},
 		{"larger than the buffer", "id: 1\ndata: " + strings.Repeat("x", 3*eventBufferSize) + "\n\nid: 2\n\n", []string{"1", "2"}, io.EOF},
 	}
 	for _, tt := range tests {
