Take an unframed stream without an event as broken off

What callers would see: an engine sends the header of a stream that has neither length nor chunks and ends its connection before the first event; the caller gets an empty stream as a complete success, and the engine's failure is not counted. Cause: the end of the connection counted as the end of the answer whenever no event was begun. A process that ends closes its connections in the same way. Change: where neither the caller nor an earlier attempt has an event, such an end is a broken connection: another engine is asked where the stream may be resumed, else the caller gets 502. With a length or a last chunk an empty stream is still complete, and so is one that is resumed after its last event. Ruled out: the same for plain calls, whose body may be empty. Evidence: two cases of TestAnswerEnds failed before; TestNoEventLeft and the case with a length of 0, which guard against doing too much, passed before and after. Measured: TestAnswerEnds and TestNoEventLeft with -race, and the tests of the forwarder and the dialer, pass.

--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -123,6 +123,8 @@
 	StatusCode int
 	Header     http.Header
 	Body       io.Reader
+	// Unframed is set if the body has neither a length nor chunks. Its end is then the end of the connection.
+	Unframed bool
 }
 
 // ReadResponse reads the header of the response. The header and the body must be read within timeout. own reports by the header whether a
@@ -147,7 +149,9 @@
 		}
 		if own(response.Header) {
 			x.response = response
-			return &Response{StatusCode: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+			return &Response{
+				StatusCode: response.StatusCode, Header: response.Header, Body: response.Body, Unframed: isUnframed(response),
+			}, nil
 		}
 		if foreign++; foreign > maxForeignResponses {
 			return nil, ErrForeignResponse
@@ -178,7 +182,7 @@
 //   - The request was written completely.
 //   - The context of Send has not ended.
 func (x *Exchange) Close(complete bool) {
-	if !complete || x.response == nil || x.response.Close || x.response.ContentLength < 0 && !isChunked(x.response) {
+	if !complete || x.response == nil || x.response.Close || isUnframed(x.response) {
 		x.closeConn()
 		return
 	}
@@ -200,8 +204,10 @@
 	x.conn.discard()
 }
 
-func isChunked(response *http.Response) bool {
-	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
+// isUnframed reports whether the end of a response is marked only by the end of the connection.
+func isUnframed(response *http.Response) bool {
+	chunked := len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
+	return response.ContentLength < 0 && !chunked
 }
 
 // keepAliveTimeout returns the timeout in the Keep-Alive header, or zero if there is none.
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -267,6 +267,10 @@
 	p.possibleRuns++
 	for {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && response.Unframed && !started && p.lastEventID == "" {
+			// An engine that fails before its first event may end its connection like this.
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			p.result.Status, p.result.Code = Delivered, response.StatusCode
 			if !p.headerSent && f.sendHeader(p, response, sink) != nil {
