Do not count comments and empty lines of a stream as progress

What callers would see: an engine stalls in a stream but sends a comment or an empty line now and then; the caller waits until its timeout, though another engine is free. Cause: whatever an empty line ends counted as an event, restarted the limit for the pause and moved on the time until which the caller waits. Change: only an event with a field does. Comments and empty lines are still passed on as they arrive. The caller's patience counts from its arrival until the first event, even if a comment made the node send the header. Ruled out: not passing them on, since the answer would no longer be the engine's bytes. Evidence: three cases of TestStalledStream failed before, after the caller's 10 s; an engine that sends bytes of a header or an event without end was replaced before, too. Measured: the three cases pass after 1.5 s to 1.7 s with -race, at the route's limit for a pause (1.5 s); the tests of the forwarder and the listener pass.

--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -282,12 +282,14 @@
 			p.mayHaveRun = true
 			return f.classifyReadError(ctx, p, guard, err), false
 		}
-		// The time spent writing to a slow caller must not count as silence of the engine.
-		guard.stop()
-		p.recordEvent(time.Now())
-		if !started {
-			started = true
-			f.Control.Post(modeler.AttemptStarted{ID: id})
+		if !event.filler {
+			// The time spent writing to a slow caller must not count as silence of the engine.
+			guard.stop()
+			p.recordEvent(time.Now())
+			if !started {
+				started = true
+				f.Control.Post(modeler.AttemptStarted{ID: id})
+			}
 		}
 		if !p.headerSent {
 			if err := f.sendHeader(p, response, sink); err != nil {
@@ -305,7 +307,9 @@
 				return modeler.Abandoned, false
 			}
 		}
-		guard.reset(f.pauseLimit(p), true)
+		if !event.filler {
+			guard.reset(f.pauseLimit(p), true)
+		}
 	}
 }
 
--- a/internal/fleet/forwarder/event.go
+++ b/internal/fleet/forwarder/event.go
@@ -13,6 +13,8 @@
 type event struct {
 	data []byte
 	id   string
+	// filler is set if there are only comments and empty lines. An engine may send them without making progress.
+	filler bool
 }
 
 // eventReader splits a stream into events. Lines end with "\n" or "\r\n".
@@ -54,7 +56,7 @@
 		if r.buffered() {
 			data := r.buffer[r.start:r.line]
 			r.start, r.complete = r.line, false
-			return event{data: data, id: eventID(data)}, nil
+			return newEvent(data), nil
 		}
 		if r.start > 0 {
 			r.end = copy(r.buffer, r.buffer[r.start:r.end])
@@ -81,14 +83,19 @@
 	}
 }
 
-// eventID returns the value of the id field of an event, or "" if there is none.
-func eventID(data []byte) string {
+// newEvent returns the event with the given bytes.
+func newEvent(data []byte) event {
+	e := event{data: data, filler: true}
 	for len(data) > 0 {
 		line, rest, _ := bytes.Cut(data, []byte("\n"))
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
+			e.id, e.filler = string(bytes.TrimSpace(value)), false
+			return e
+		}
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+			e.filler = false
 		}
 		data = rest
 	}
-	return ""
+	return e
 }
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -246,7 +246,7 @@
 // pauses for too long.
 func (f *Forwarder) callerDeadline(p *progress) time.Time {
 	last := p.call.Arrived
-	if p.headerSent {
+	if !p.lastEventAt.IsZero() {
 		last = p.lastEventAt
 	}
 	if end := last.Add(streamWaitLimit(p.call.Route)); p.call.Route.Kind == modeler.Stream && end.Before(p.deadline) {
