Release the replacement for a silent engine when it is not used

What callers would see: an engine that gets less work than it could do, until its node restarts; with several such placements, refusals while engines are idle. Cause: a placement that the guard found was handed to the next attempt only if the read then failed while the caller was still there. If the rest of the answer had been read already, or the caller had disconnected just then, nobody posted its AttemptEnded, and a node does not drop placements of its own requests at a deadline. Change: each attempt that ends leaves the guard's placement as the next decision, and Serve releases a decision that no attempt has used. Ruled out: dropping own placements at their deadline, since an attempt may still run then; stopping the guard while a comment is written, since comments sent now and then would cancel each search.

--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -62,7 +62,12 @@
 	complete := false
 	defer func() { exchange.Close(complete) }()
 	guard := f.guard(p, id, exchange.Abort, f.silenceLimit(p, plan))
-	defer guard.stop()
+	defer func() {
+		guard.stop()
+		if p.nextDecision = guard.replacement(); p.nextDecision != nil {
+			p.countedRetries++
+		}
+	}()
 	response, err := exchange.ReadResponse(p.call.Method, max(time.Until(p.deadline), time.Millisecond), func(header http.Header) bool {
 		answeredID := f.Protocol.ResponseFields(0, header).RequestID
 		return answeredID == "" || answeredID == p.call.Fields.ID
@@ -180,12 +185,10 @@
 	}
 }
 
-// classifyReadError returns the outcome for an error while reading the answer. If the guard aborted the connection for another placement,
-// that placement is used for the next attempt.
+// classifyReadError returns the outcome for an error while reading the answer. The engine was silent if the guard aborted the connection for
+// another placement.
 func (f *Forwarder) classifyReadError(ctx context.Context, p *progress, guard *silenceGuard, err error) modeler.Outcome {
-	if nextDecision := guard.replacement(); nextDecision != nil && ctx.Err() == nil {
-		p.nextDecision = nextDecision
-		p.countedRetries++
+	if guard.replacement() != nil && ctx.Err() == nil {
 		return modeler.Silent
 	}
 	return f.classifyError(ctx, p, err, modeler.Broken)
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -154,7 +154,7 @@
 	// reached counts the attempts that may have reached an endpoint and is limited by maxReached. countedRetries counts the retries that were
 	// counted in the retry budget. The first attempt that reaches an endpoint is no retry.
 	reached, countedRetries int
-	// nextDecision is the placement that the guard found while the last endpoint was silent.
+	// nextDecision is the placement that the guard found while the last endpoint was silent. The next attempt uses it, or Serve releases it.
 	nextDecision *modeler.Decision
 	// lastEventID is the id of the last event that was forwarded, and lastEventAt the time of that event.
 	lastEventID string
@@ -172,6 +172,10 @@
 	defer cancel()
 	f.Budget.AddRequest(call.Service.ID)
 	f.runAttempts(ctx, p, sink)
+	if p.nextDecision != nil {
+		// Release the placement: the call ended before it was used.
+		f.Control.Post(modeler.AttemptEnded{ID: f.request(p).ID, Outcome: modeler.Abandoned})
+	}
 	if p.failedAnswer != nil && !p.headerSent && !callerLeft(ctx) {
 		p.failedAnswer.deliver(p, sink)
 	}
