Log the shared parts of prompts whose attempts broke

The logs could not tell whether the requests under which engines end have a part of the prompt in common, nor whether an attempt had received an event before its connection broke.

platform decodes the ids of all parts of a prompt but the last; the listener turns them into fingerprints, and a Request carries them to the node that places it. Placed has SharedParts; AttemptBroken, on the node that served the attempt, has SharedParts and FirstEvent. Heartbeats leave the parts out. No decision uses them yet.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -296,6 +296,8 @@
 	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll}
 	for _, id := range world.ByNode.Keys(world.Self.ID) {
 		if a, ok := world.Assignments.Get(id); ok {
+			// Shared parts are left out, because they would make each heartbeat longer.
+			a.Request = a.Request.WithSharedParts(nil)
 			body.Running = append(body.Running, a)
 		}
 	}
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	Body              []byte
 	Arrived           time.Time
 	Fingerprint       modeler.Fingerprint
+	// SharedParts holds the fingerprints of the parts of the prompt that other requests may share.
+	SharedParts []modeler.Fingerprint
 }
 
 // Status is the final state of a request. A refusal promises the caller that the request did not run.
@@ -288,8 +290,9 @@
 	request := modeler.Request{
 		ID:   modeler.RequestID(string(call.Fields.ID) + "/" + strconv.Itoa(p.attempts) + "/" + strconv.FormatUint(f.Self.Incarnation%1e4, 36)),
 		Node: f.Self.ID, Service: call.Service.ID, Kind: call.Route.Kind, Prompt: call.Fields.Prompt, Output: call.Fields.Output,
-		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: f.callerDeadline(p),
-		RunsUntil: p.deadline, Gap: call.Route.GapTarget, Priority: priority, Fingerprint: call.Fingerprint, Tried: p.tried, DataCentre: f.Self.DataCentre,
+		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: f.callerDeadline(p), RunsUntil: p.deadline,
+		Gap: call.Route.GapTarget, Priority: priority, Fingerprint: call.Fingerprint, SharedParts: call.SharedParts,
+		Tried: p.tried, DataCentre: f.Self.DataCentre,
 	}
 	if p.headerSent {
 		return f.resumeRequest(request, call.Route, p.deadline)
--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -173,6 +173,7 @@
 	return forwarder.Call{
 		Fields: fields, Route: route, Service: service, Member: member, Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: r.Header, Body: body, Arrived: arrived, Fingerprint: fingerprint(r.URL.Path, member.ID, body),
+		SharedParts: partFingerprints(fields.SharedParts),
 	}, http.StatusOK
 }
 
@@ -182,9 +183,26 @@
 	if len(body) == 0 {
 		return modeler.NoFingerprint
 	}
+	return hashFields([]byte(path), []byte(member), body)
+}
+
+// partFingerprints returns hashes of the ids of parts of a prompt. The first field keeps them apart from the fingerprints of requests, which
+// begin with a path.
+func partFingerprints(ids []string) []modeler.Fingerprint {
+	if len(ids) == 0 {
+		return nil
+	}
+	parts := make([]modeler.Fingerprint, 0, len(ids))
+	for _, id := range ids {
+		parts = append(parts, hashFields([]byte("part"), []byte(id)))
+	}
+	return parts
+}
+
+func hashFields(fields ...[]byte) modeler.Fingerprint {
 	var hash xxhash.Digest
 	hash.Reset()
-	for _, field := range [][]byte{[]byte(path), []byte(member), body} {
+	for _, field := range fields {
 		// Writes to a hash do not fail.
 		_, _ = hash.Write(field)
 		_, _ = hash.Write([]byte{0})
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -54,10 +54,21 @@
 		Kind: modeler.Kind(min(r.GetKind(), uint32(modeler.Stream))), Prompt: modeler.Tokens(r.GetPrompt()), Output: modeler.Tokens(r.GetOutput()),
 		Arrived: now.Add(-microseconds(r.GetAge())), Due: now.Add(microseconds(r.GetDue())), Deadline: now.Add(microseconds(r.GetDeadline())),
 		Gap: microseconds(r.GetGap()), Priority: int(r.GetPriority()), Fingerprint: modeler.Fingerprint(r.GetFingerprint()), Tried: tried,
-		DataCentre: modeler.DataCentreID(r.GetDataCentre()),
+		DataCentre: modeler.DataCentreID(r.GetDataCentre()), SharedParts: decodeFingerprints(r.GetSharedParts()),
 	}
 }
 
+func decodeFingerprints(list []uint64) []modeler.Fingerprint {
+	if len(list) == 0 {
+		return nil
+	}
+	decoded := make([]modeler.Fingerprint, 0, len(list))
+	for _, f := range list {
+		decoded = append(decoded, modeler.Fingerprint(f))
+	}
+	return decoded
+}
+
 // decodePlan sets only the IDs of endpoints; the receiver looks up their addresses in its own table, which comes from the store.
 func decodePlan(p *Plan) modeler.Plan {
 	plan := modeler.Plan{
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -47,10 +47,18 @@
 		Prompt: int64(r.Prompt), Output: int64(r.Output),
 		Age: now.Sub(r.Arrived).Microseconds(), Due: r.Due.Sub(now).Microseconds(), Deadline: r.Deadline.Sub(now).Microseconds(),
 		Gap: r.Gap.Microseconds(), Priority: int32(r.Priority), Fingerprint: uint64(r.Fingerprint), Tried: tried,
-		DataCentre: string(r.DataCentre),
+		DataCentre: string(r.DataCentre), SharedParts: encodeFingerprints(r.SharedParts),
 	}
 }
 
+func encodeFingerprints(list []modeler.Fingerprint) []uint64 {
+	encoded := make([]uint64, 0, len(list))
+	for _, f := range list {
+		encoded = append(encoded, uint64(f))
+	}
+	return encoded
+}
+
 func encodePlan(p modeler.Plan) *Plan {
 	helpers := make([]string, 0, len(p.Helpers))
 	for _, h := range p.Helpers {
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -17,7 +17,7 @@
 	return modeler.Request{
 		ID: "r/0/x", Node: "n", Service: "s", Kind: modeler.Stream, Prompt: 5000, Output: 900, Arrived: now.Add(-time.Second),
 		Due: now.Add(-time.Millisecond), Deadline: now.Add(time.Minute), Gap: 250 * time.Millisecond, Priority: -1, Fingerprint: 1 << 63,
-		Tried: []modeler.EndpointID{"e1", "e2"}, DataCentre: "dc",
+		Tried: []modeler.EndpointID{"e1", "e2"}, DataCentre: "dc", SharedParts: []modeler.Fingerprint{1 << 62, 3},
 	}
 }
 
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -47,10 +47,12 @@
 
 // Log events about requests. Each comment lists the fields.
 const (
-	// LogEventPlaced: Request, Endpoint, Helpers, Expected, Waited, Left, Prompt, Coordinates.
+	// LogEventPlaced: Request, Endpoint, Helpers, Expected, Waited, Left, Prompt, Coordinates, SharedParts.
 	LogEventPlaced LogEventName = "Placed"
 	// LogEventPlaceRefused: Request, Reason, Waited, Prompt, Waiting, EndpointsAge.
 	LogEventPlaceRefused LogEventName = "PlaceRefused"
+	// LogEventAttemptBroken: Request, Endpoint, Age, FirstEvent, SharedParts.
+	LogEventAttemptBroken LogEventName = "AttemptBroken"
 	// LogEventAttemptRepeated: Request, Attempt, Outcome, Endpoint, Age.
 	LogEventAttemptRepeated LogEventName = "AttemptRepeated"
 	// LogEventRequestEnded: Request, Route, Status, Code, Endpoint, Helpers, Attempts, Last, Prompt, Output, First, Pause, Took, Late, Reason,
@@ -66,5 +68,5 @@
 	LogEventNodeRegistered, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
 	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable,
-	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptRepeated, LogEventRequestEnded, LogEventRequestRejected,
+	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventAttemptRepeated, LogEventRequestEnded, LogEventRequestRejected,
 }
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -25,6 +25,8 @@
 	Gap         time.Duration
 	Priority    int
 	Fingerprint Fingerprint
+	// SharedParts holds the fingerprints of the parts of the prompt that other requests may share. It must not be modified.
+	SharedParts []Fingerprint
 	// Tried holds the endpoints on which this request has already failed. It must not be modified.
 	Tried []EndpointID
 	// Resumes is set for the rest of a stream whose header was sent. It is not sent to other nodes.
@@ -48,6 +50,12 @@
 	return r
 }
 
+// WithSharedParts returns the request with SharedParts set.
+func (r Request) WithSharedParts(parts []Fingerprint) Request {
+	r.SharedParts = parts
+	return r
+}
+
 // MaxMemory returns the KV cache memory that the request may need.
 func (r Request) MaxMemory() Tokens { return r.Prompt + r.Output }
 
--- a/internal/fleet/modeler/wire.go
+++ b/internal/fleet/modeler/wire.go
@@ -11,6 +11,8 @@
 	Prompt, Output Tokens
 	// LastEvent is the id of the last event of a stream that the caller received.
 	LastEvent string
+	// SharedParts holds the ids of the parts of the prompt that other requests may share, in their order.
+	SharedParts []string
 }
 
 // AttemptFields holds the fields that are added to a request when it is sent to an endpoint.
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -299,6 +299,7 @@
 		{Key: "Endpoint", Value: string(decision.Plan.Endpoint.ID)}, {Key: "Helpers", Value: joinIDs(decision.Plan.Helpers)},
 		{Key: "Expected", Value: decision.Plan.TimeToFirstEvent}, {Key: "Waited", Value: now.Sub(entry.Since)}, {Key: "Left", Value: request.Due.Sub(now)},
 		{Key: "Prompt", Value: request.Prompt}, {Key: "Coordinates", Value: world.Coordinates()},
+		{Key: "SharedParts", Value: modeler.JoinFingerprints(request.SharedParts)},
 	}}
 }
 
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -147,6 +147,13 @@
 		// The endpoint refused the request because this helper does not process its part: it has stopped or is leaving.
 		ended.Endpoint, ended.Outcome = e.FaultyEngine, modeler.Unreachable
 	}
+	if ended.Outcome == modeler.Broken {
+		tick.Emit(modeler.LogEvent{Name: modeler.LogEventAttemptBroken, Request: e.ID, Fields: []modeler.LogField{
+			{Key: "Endpoint", Value: string(ended.Endpoint)}, {Key: "Age", Value: tick.Now.Sub(assignment.Placed)},
+			{Key: "FirstEvent", Value: !assignment.FirstEventAt.IsZero()},
+			{Key: "SharedParts", Value: modeler.JoinFingerprints(assignment.Request.SharedParts)},
+		}})
+	}
 	updateHealth(tick, world, ended)
 	if placing, ok := elector.PlacingNode(world, tick.Now); ok {
 		tick.Emit(modeler.Send{To: placing, Message: world.Message(ended)})
