--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -22,7 +22,7 @@
 	"damaskpick.example/damaskpick/platform/platformtest"
 )
 
-// testSite is a deployment with a store, two engines and two plain endpoints, in which nodes can be started.
+// testSite is a deployment with a store and endpoints, in which nodes can be started.
 type testSite struct {
 	store     *platformtest.Store
 	address   string
@@ -30,6 +30,16 @@
 }
 
 func newSite(t *testing.T) *testSite {
+	t.Helper()
+	return newSiteWith(t, []*platformtest.Endpoint{
+		{ID: "engine-1", Service: platformtest.EngineService, DataCentre: "dc-a", Slots: 4, Events: 8, Pause: 5 * time.Millisecond},
+		{ID: "engine-2", Service: platformtest.EngineService, DataCentre: "dc-b", Slots: 4, Events: 8, Pause: 5 * time.Millisecond},
+		{ID: "plain-1", Service: platformtest.PlainService, DataCentre: "dc-a", Slots: 4, Work: 5 * time.Millisecond},
+		{ID: "plain-2", Service: platformtest.PlainService, DataCentre: "dc-b", Slots: 4, Work: 5 * time.Millisecond},
+	})
+}
+
+func newSiteWith(t *testing.T, endpoints []*platformtest.Endpoint) *testSite {
 	t.Helper()
 	s := &testSite{store: platformtest.NewStore()}
 	server := httptest.NewServer(s.store)
@@ -37,12 +47,7 @@
 	t.Cleanup(server.CloseClientConnections)
 	s.address = server.Listener.Addr().String()
 	s.store.Put(platform.TopicOperators, "config", platformtest.Configuration(1))
-	for _, e := range []*platformtest.Endpoint{
-		{ID: "engine-1", Service: platformtest.EngineService, DataCentre: "dc-a", Slots: 4, Events: 8, Pause: 5 * time.Millisecond},
-		{ID: "engine-2", Service: platformtest.EngineService, DataCentre: "dc-b", Slots: 4, Events: 8, Pause: 5 * time.Millisecond},
-		{ID: "plain-1", Service: platformtest.PlainService, DataCentre: "dc-a", Slots: 4, Work: 5 * time.Millisecond},
-		{ID: "plain-2", Service: platformtest.PlainService, DataCentre: "dc-b", Slots: 4, Work: 5 * time.Millisecond},
-	} {
+	for _, e := range endpoints {
 		t.Cleanup(e.Start())
 		s.endpoints = append(s.endpoints, e)
 		s.store.Put(platform.TopicEndpoints, e.ID, e.Entry(e.Address(), "ready"))
