--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -21,6 +21,8 @@
 	// maxLoads is the maximum number of endpoints whose load is in a digest. The busiest ones are sufficient: a node that places requests
 	// without the coordinator has to avoid these.
 	maxLoads = 64
+	// MaxSuspects is the maximum number of fingerprints in a digest.
+	MaxSuspects = 32
 )
 
 // digest returns the digest that the coordinator sends to all nodes.
@@ -35,12 +37,23 @@
 	if s.loads != nil {
 		digest.Loads = busiest(s.loads(now, world))
 	}
+	digest.Suspects = suspects(now, world)
+	return digest
+}
+
+// suspects returns the fingerprints that other nodes have to know, at most MaxSuspects: first those that are quarantined for longest, then those
+// with the highest count.
+func suspects(now time.Time, world *modeler.World) []modeler.Suspect {
+	var list []modeler.Suspect
 	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
-		if brokenAttempts.Quarantined(now) {
-			digest.Quarantined = append(digest.Quarantined, fingerprint)
+		if suspect, ok := brokenAttempts.Suspect(fingerprint, now); ok {
+			list = append(list, suspect)
 		}
 	}
-	return digest
+	slices.SortStableFunc(list, func(a, b modeler.Suspect) int {
+		return cmp.Or(cmp.Compare(b.QuarantinedFor, a.QuarantinedFor), cmp.Compare(b.Count, a.Count))
+	})
+	return list[:min(len(list), MaxSuspects)]
 }
 
 // digestNodes returns the nodes that the next digest contains: those that started recently or are not registered yet, and some of the
--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +103,52 @@
 		})
 	}
 }
+
+// TestDigestSuspects guards against a quarantine that other nodes do not learn of, and against a digest that grows with the broken attempts.
+func TestDigestSuspects(t *testing.T) {
+	now := time.Unix(1000, 0)
+	part := modeler.BrokenAttempts{}.WithBrokenAttempt(now).WithRequest(1)
+	tests := []struct {
+		name string
+		rows []modeler.BrokenAttempts
+		want []modeler.Suspect
+	}{
+		{"part that broke once", []modeler.BrokenAttempts{part}, nil},
+		{"part that broke twice", []modeler.BrokenAttempts{part.WithBrokenAttempt(now)}, []modeler.Suspect{{Fingerprint: 1, Count: 2, SharedPart: true}}},
+		{"request that broke twice", []modeler.BrokenAttempts{{Count: 2}}, nil},
+		{
+			"quarantined request first", []modeler.BrokenAttempts{part.WithBrokenAttempt(now), modeler.BrokenAttempts{}.WithQuarantine(now, now, time.Minute)},
+			[]modeler.Suspect{{Fingerprint: 2, Count: 3, QuarantinedFor: time.Minute}, {Fingerprint: 1, Count: 2, SharedPart: true}},
+		},
+		{"many parts", slices.Repeat([]modeler.BrokenAttempts{part.WithBrokenAttempt(now)}, 100), manySuspects(32)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "self"})
+			world.Coordinator = "self"
+			world.Nodes.Put("a", modeler.Node{ID: "a", Incarnation: 1, Rank: 1}.WithLastSeen(now))
+			for i, row := range tt.rows {
+				world.BrokenAttempts.Put(modeler.Fingerprint(i+1), row)
+			}
+			tick := &modeler.Tick{Now: now}
+			elector.New(nil).Run(tick, world)
+			var got []modeler.Suspect
+			for _, effect := range tick.Effects() {
+				if send, ok := effect.(modeler.Send); ok {
+					if digest, ok := send.Message.Body.(modeler.Digest); ok {
+						got = digest.Suspects
+					}
+				}
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+func manySuspects(count int) []modeler.Suspect {
+	suspects := make([]modeler.Suspect, 0, count)
+	for i := range count {
+		suspects = append(suspects, modeler.Suspect{Fingerprint: modeler.Fingerprint(i + 1), Count: 2, SharedPart: true})
+	}
+	return suspects
+}
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -161,6 +161,8 @@
 	// lastEventID is the id of the last event that was forwarded, and lastEventAt the time of that event.
 	lastEventID string
 	lastEventAt time.Time
+	// brokeBefore is set once an attempt broke.
+	brokeBefore bool
 	// headerSent is set once the header of an answer was forwarded.
 	headerSent bool
 	result     Result
@@ -210,6 +212,7 @@
 		}
 		outcome := f.attempt(ctx, p, decision.Plan, sink)
 		p.result.Last = outcome
+		p.brokeBefore = p.brokeBefore || outcome == modeler.Broken
 		if outcome == modeler.Answered || outcome == modeler.Abandoned {
 			return
 		}
@@ -292,7 +295,8 @@
 		Node: f.Self.ID, Service: call.Service.ID, Kind: call.Route.Kind, Prompt: call.Fields.Prompt, Output: call.Fields.Output,
 		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: f.callerDeadline(p), RunsUntil: p.deadline,
 		Gap: call.Route.GapTarget, Priority: priority, Fingerprint: call.Fingerprint, SharedParts: call.SharedParts,
-		Tried: p.tried, DataCentre: f.Self.DataCentre,
+		RepeatsBroken: p.brokeBefore && !p.headerSent,
+		Tried:         p.tried, DataCentre: f.Self.DataCentre,
 	}
 	if p.headerSent {
 		return f.resumeRequest(request, call.Route, p.deadline)
--- a/internal/fleet/forwarder/retry_test.go
+++ b/internal/fleet/forwarder/retry_test.go
@@ -134,3 +134,32 @@
 		})
 	}
 }
+
+// TestRepeatsBroken guards against a request that crashes a second endpoint because the placement does not know of the first, and against a cut
+// stream that is not resumed although it is known to run.
+func TestRepeatsBroken(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault platformtest.EndpointFault
+		want  bool
+	}{
+		{"crashed before the first event", platformtest.EndpointFault{CrashingPart: "dd", DownFor: time.Minute}, true},
+		{"cut after two events", platformtest.EndpointFault{CutAfter: 2}, false},
+		{"refused", platformtest.EndpointFault{FaultyEngine: "e1"}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 100)
+			f.first.SetFault(tt.fault)
+			c := call(modeler.Stream, "/stream/1")
+			c.Header.Set(platformtest.PrefixHeader, "dd:5,ee:1")
+			c.SharedParts = []modeler.Fingerprint{3}
+			result := f.forward.Serve(t.Context(), c, &sink{})
+			assert.Equal(t, result.Status, forwarder.Delivered)
+			assert.Equal(t, len(f.control.requests), 2)
+			assert.Equal(t, f.control.requests[0].RepeatsBroken, false)
+			assert.Equal(t, f.control.requests[1].RepeatsBroken, tt.want)
+			assert.DeepEqual(t, f.control.requests[1].SharedParts, c.SharedParts)
+		})
+	}
+}
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -27,6 +27,7 @@
 		message.Body = modeler.Ended{
 			ID: modeler.RequestID(e.GetId()), Endpoint: modeler.EndpointID(e.GetEndpoint()),
 			Outcome: modeler.Outcome(min(e.GetOutcome(), uint32(modeler.Garbled))), Fingerprint: modeler.Fingerprint(e.GetFingerprint()),
+			SharedParts: decodeFingerprints(e.GetSharedParts()), Age: microseconds(e.GetAge()), Survived: e.GetSurvived(),
 		}
 	case *Datagram_Beat:
 		message.Body = decodeBeat(now, body.Beat)
@@ -55,6 +56,7 @@
 		Arrived: now.Add(-microseconds(r.GetAge())), Due: now.Add(microseconds(r.GetDue())), Deadline: now.Add(microseconds(r.GetDeadline())),
 		Gap: microseconds(r.GetGap()), Priority: int(r.GetPriority()), Fingerprint: modeler.Fingerprint(r.GetFingerprint()), Tried: tried,
 		DataCentre: modeler.DataCentreID(r.GetDataCentre()), SharedParts: decodeFingerprints(r.GetSharedParts()),
+		RepeatsBroken: r.GetRepeatsBroken(),
 	}
 }
 
@@ -143,8 +145,11 @@
 			Running: int(l.GetRunning()), Memory: modeler.Tokens(l.GetMemory()), Backlog: microseconds(l.GetBacklog()), Gap: microseconds(l.GetGap()),
 		}
 	}
-	for _, f := range d.GetQuarantined() {
-		digest.Quarantined = append(digest.Quarantined, modeler.Fingerprint(f))
+	for _, s := range d.GetSuspects() {
+		digest.Suspects = append(digest.Suspects, modeler.Suspect{
+			Fingerprint: modeler.Fingerprint(s.GetFingerprint()), Count: int(s.GetCount()), SharedPart: s.GetSharedPart(),
+			QuarantinedFor: microseconds(s.GetQuarantinedFor()),
+		})
 	}
 	return digest
 }
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -24,6 +24,7 @@
 	case modeler.Ended:
 		d.Body = &Datagram_Ended{Ended: &Ended{
 			Id: string(body.ID), Endpoint: string(body.Endpoint), Outcome: uint32(body.Outcome), Fingerprint: uint64(body.Fingerprint),
+			SharedParts: encodeFingerprints(body.SharedParts), Age: body.Age.Microseconds(), Survived: body.Survived,
 		}}
 	case modeler.Beat:
 		d.Body = &Datagram_Beat{Beat: encodeBeat(now, body)}
@@ -47,7 +48,7 @@
 		Prompt: int64(r.Prompt), Output: int64(r.Output),
 		Age: now.Sub(r.Arrived).Microseconds(), Due: r.Due.Sub(now).Microseconds(), Deadline: r.Deadline.Sub(now).Microseconds(),
 		Gap: r.Gap.Microseconds(), Priority: int32(r.Priority), Fingerprint: uint64(r.Fingerprint), Tried: tried,
-		DataCentre: string(r.DataCentre), SharedParts: encodeFingerprints(r.SharedParts),
+		DataCentre: string(r.DataCentre), SharedParts: encodeFingerprints(r.SharedParts), RepeatsBroken: r.RepeatsBroken,
 	}
 }
 
@@ -123,8 +124,10 @@
 			Endpoint: string(id), Running: int32(l.Running), Memory: int64(l.Memory), Backlog: l.Backlog.Microseconds(), Gap: l.Gap.Microseconds(),
 		})
 	}
-	for _, f := range body.Quarantined {
-		digest.Quarantined = append(digest.Quarantined, uint64(f))
+	for _, s := range body.Suspects {
+		digest.Suspects = append(digest.Suspects, &Suspect{
+			Fingerprint: uint64(s.Fingerprint), Count: int32(s.Count), SharedPart: s.SharedPart, QuarantinedFor: s.QuarantinedFor.Microseconds(),
+		})
 	}
 	return digest
 }
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -18,6 +18,7 @@
 		ID: "r/0/x", Node: "n", Service: "s", Kind: modeler.Stream, Prompt: 5000, Output: 900, Arrived: now.Add(-time.Second),
 		Due: now.Add(-time.Millisecond), Deadline: now.Add(time.Minute), Gap: 250 * time.Millisecond, Priority: -1, Fingerprint: 1 << 63,
 		Tried: []modeler.EndpointID{"e1", "e2"}, DataCentre: "dc", SharedParts: []modeler.Fingerprint{1 << 62, 3},
+		RepeatsBroken: true,
 	}
 }
 
@@ -46,6 +47,9 @@
 		}}},
 		{"started", modeler.Started{ID: "r"}},
 		{"ended", modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Garbled, Fingerprint: 1<<64 - 1}},
+		{"ended with evidence", modeler.Ended{
+			ID: "r", Endpoint: "e", Outcome: modeler.Broken, SharedParts: []modeler.Fingerprint{5, 1 << 63}, Age: time.Second, Survived: true,
+		}},
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithFirstEvent(now)}, ReadPositions: [2]modeler.ReadPosition{{End: 4, LastChangeEnd: 3, Age: time.Second}, {End: 9}},
 			ReadsForAll: true,
@@ -61,7 +65,9 @@
 			Next: 9, Age: time.Second, Records: []modeler.Record{{Key: "k", Value: []byte("v"), Offset: 8}},
 		}},
 		{"digest", modeler.Digest{
-			Alive: []modeler.Node{node()}, Quarantined: []modeler.Fingerprint{9}, AliveRanks: []int64{0, 1 << 40},
+			Alive: []modeler.Node{node()}, AliveRanks: []int64{0, 1 << 40}, Suspects: []modeler.Suspect{
+				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true},
+			},
 			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
 		}},
 	}
--- /dev/null
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -0,0 +1,112 @@
+package modeler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// QuarantineThreshold is the number of broken attempts after which requests with the same fingerprint are refused.
+	QuarantineThreshold = 3
+	// SuspectThreshold is the number of broken attempts after which a broken request with the same shared part is not sent again.
+	SuspectThreshold = 2
+	// ObservationTime is the time after the first broken attempt with a shared part in which another attempt with the part, placed right after it,
+	// shows that endpoints survive it. Nothing is refused before.
+	ObservationTime = 600 * time.Millisecond
+	// maxQuarantineTime bounds the quarantine of a fingerprint that is quarantined again and again.
+	maxQuarantineTime = 4 * time.Hour
+)
+
+// BrokenAttempts counts, for the fingerprint of a request or of a shared part of prompts, the attempts that ended in a broken connection.
+type BrokenAttempts struct {
+	Count int
+	// FirstAt and At are the times of the first and the last counted attempt.
+	FirstAt, At time.Time
+	// SharedPart is set for the fingerprint of a shared part.
+	SharedPart bool
+	// Requests holds the fingerprints of the requests that were counted for a shared part, each once. It must not be modified.
+	Requests []Fingerprint
+	// From and Until are the beginning and the end of the last quarantine. Quarantines is the number of quarantines.
+	From, Until time.Time
+	Quarantines int
+}
+
+// WithBrokenAttempt returns the count after one more broken attempt.
+func (b BrokenAttempts) WithBrokenAttempt(at time.Time) BrokenAttempts {
+	if b.Count == 0 {
+		b.FirstAt = at
+	}
+	b.Count, b.At = b.Count+1, at
+	return b
+}
+
+// WithRequest returns the count of a shared part with a request that it was counted for.
+func (b BrokenAttempts) WithRequest(request Fingerprint) BrokenAttempts {
+	b.SharedPart = true
+	if !slices.Contains(b.Requests, request) {
+		b.Requests = append(slices.Clip(b.Requests), request)
+	}
+	return b
+}
+
+// WithQuarantine returns the count after a broken attempt at the time at that causes or prolongs a quarantine. The first quarantine lasts for
+// the given time; each further one lasts twice as long as the one before.
+func (b BrokenAttempts) WithQuarantine(from, at time.Time, first time.Duration) BrokenAttempts {
+	b.Count = max(b.Count, QuarantineThreshold)
+	if !at.Before(b.Until) {
+		b.From = from
+		b.Quarantines++
+	}
+	lasts := first
+	for range b.Quarantines - 1 {
+		lasts = min(2*lasts, maxQuarantineTime)
+	}
+	b.Until = at.Add(lasts)
+	return b
+}
+
+// Quarantined reports whether requests with this fingerprint are refused.
+func (b BrokenAttempts) Quarantined(now time.Time) bool {
+	return b.Count >= QuarantineThreshold && !now.Before(b.From) && now.Before(b.Until)
+}
+
+// Suspected reports whether broken requests with this shared part are not sent again.
+func (b BrokenAttempts) Suspected(now time.Time) bool {
+	return b.SharedPart && b.Count >= SuspectThreshold && now.Sub(b.FirstAt) >= ObservationTime
+}
+
+// Suspect is a fingerprint in a digest.
+type Suspect struct {
+	Fingerprint Fingerprint
+	Count       int
+	SharedPart  bool
+	// QuarantinedFor is the rest of the quarantine; zero if there is none.
+	QuarantinedFor time.Duration
+}
+
+// Suspect returns the digest's entry for the fingerprint, or false if other nodes need not know it.
+func (b BrokenAttempts) Suspect(fingerprint Fingerprint, now time.Time) (Suspect, bool) {
+	suspect := Suspect{Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart}
+	if b.Quarantined(now) {
+		suspect.QuarantinedFor = b.Until.Sub(now)
+	}
+	return suspect, suspect.QuarantinedFor > 0 || b.SharedPart && b.Count >= SuspectThreshold
+}
+
+// WithSuspect returns the count after another node reported the fingerprint: the higher count and the later end of the quarantine.
+func (b BrokenAttempts) WithSuspect(suspect Suspect, now time.Time) BrokenAttempts {
+	if b.Count < suspect.Count {
+		if b.Count == 0 {
+			b.FirstAt = now
+		}
+		b.Count, b.At = suspect.Count, now
+	}
+	b.SharedPart = b.SharedPart || suspect.SharedPart
+	if until := now.Add(suspect.QuarantinedFor); suspect.QuarantinedFor > 0 && until.After(b.Until) {
+		if !b.Quarantined(now) {
+			b.From, b.Quarantines = now, max(b.Quarantines, 1)
+		}
+		b.Until = until
+	}
+	return b
+}
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -37,6 +37,10 @@
 	LogEventEndpointLapsed LogEventName = "EndpointLapsed"
 	// LogEventEndpointJudged: Request, Endpoint, Outcome, Failures, FailureRate, Misdirected.
 	LogEventEndpointJudged LogEventName = "EndpointJudged"
+	// LogEventQuarantined: Request, Fingerprint, SharedPart, Count, For.
+	LogEventQuarantined LogEventName = "Quarantined"
+	// LogEventQuarantineLifted: Request, Fingerprint, Count, Since.
+	LogEventQuarantineLifted LogEventName = "QuarantineLifted"
 	// LogEventStoreLost: Topic, Reason, Offset.
 	LogEventStoreLost LogEventName = "StoreLost"
 	// LogEventStoreRegained: Topic, SinceFailure.
@@ -51,7 +55,7 @@
 	LogEventPlaced LogEventName = "Placed"
 	// LogEventPlaceRefused: Request, Reason, Waited, Prompt, Waiting, EndpointsAge.
 	LogEventPlaceRefused LogEventName = "PlaceRefused"
-	// LogEventAttemptBroken: Request, Endpoint, Age, FirstEvent, SharedParts.
+	// LogEventAttemptBroken: Request, Endpoint, Age, FirstEvent, Fingerprint, SharedParts.
 	LogEventAttemptBroken LogEventName = "AttemptBroken"
 	// LogEventAttemptRepeated: Request, Attempt, Outcome, Endpoint, Age.
 	LogEventAttemptRepeated LogEventName = "AttemptRepeated"
@@ -67,6 +71,7 @@
 	LogEventNodeStarted, LogEventNodeLeaving, LogEventNodeStopped, LogEventSettingsChecked,
 	LogEventNodeRegistered, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
+	LogEventQuarantined, LogEventQuarantineLifted,
 	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable,
 	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventAttemptRepeated, LogEventRequestEnded, LogEventRequestRejected,
 }
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -32,6 +32,12 @@
 		Endpoint    EndpointID
 		Outcome     Outcome
 		Fingerprint Fingerprint
+		// SharedParts, Age and Survived are set if the attempt shows something about the shared parts of its prompt: it broke, or Survived is set.
+		SharedParts []Fingerprint
+		// Age is the time since the attempt was placed.
+		Age time.Duration
+		// Survived is set if the endpoint sent a complete answer, or ran on for a while after the first event.
+		Survived bool
 	}
 	// Beat is a heartbeat: the node's registration data, the requests that it runs, and its read positions in the store.
 	Beat struct {
@@ -62,8 +68,9 @@
 		Alive      []Node
 		AliveRanks []int64
 		// Loads holds the loads of the busiest endpoints.
-		Loads       map[EndpointID]LoadSummary
-		Quarantined []Fingerprint
+		Loads map[EndpointID]LoadSummary
+		// Suspects holds the fingerprints that are quarantined, and the shared parts of prompts that may be soon.
+		Suspects []Suspect
 	}
 )
 
@@ -132,32 +139,3 @@
 	// Since is when the request was queued.
 	Since time.Time
 }
-
-// BrokenAttempts counts, for one fingerprint, the attempts that ended in a broken connection.
-type BrokenAttempts struct {
-	Count int
-	// At is the time of the last broken attempt.
-	At time.Time
-}
-
-// WithBrokenAttempt returns the count after one more broken attempt.
-func (b BrokenAttempts) WithBrokenAttempt(at time.Time) BrokenAttempts {
-	return BrokenAttempts{Count: b.Count + 1, At: at}
-}
-
-const (
-	// quarantineThreshold is the number of broken attempts after which requests with the same fingerprint are refused.
-	quarantineThreshold = 3
-	// quarantineTime is how long requests are refused after the last broken attempt.
-	quarantineTime = time.Minute
-)
-
-// Quarantined reports whether requests with this fingerprint are refused.
-func (b BrokenAttempts) Quarantined(now time.Time) bool {
-	return b.Count >= quarantineThreshold && now.Sub(b.At) < quarantineTime
-}
-
-// WithQuarantine returns the count for a fingerprint that another node quarantined.
-func (b BrokenAttempts) WithQuarantine(at time.Time) BrokenAttempts {
-	return BrokenAttempts{Count: max(b.Count, quarantineThreshold), At: at}
-}
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -31,6 +31,8 @@
 	Tried []EndpointID
 	// Resumes is set for the rest of a stream whose header was sent. It is not sent to other nodes.
 	Resumes bool
+	// RepeatsBroken is set if an earlier attempt broke and the caller has received nothing yet.
+	RepeatsBroken bool
 	// DataCentre is the data centre of the node that received the request.
 	DataCentre DataCentreID
 	// WeightFactor multiplies the weight of the request. It is above 1 for classes of requests that meet their target less often than
--- a/internal/fleet/modeler/snapshot.go
+++ b/internal/fleet/modeler/snapshot.go
@@ -18,6 +18,8 @@
 	ReadsForAll bool
 	// Waiting is the number of queued requests.
 	Waiting int
+	// Quarantined is the number of fingerprints of requests and shared parts that are refused.
+	Quarantined int
 }
 
 // NewSnapshot returns a snapshot of world with the given live nodes.
@@ -30,6 +32,11 @@
 	for _, endpoint := range world.Endpoints.All() {
 		s.Endpoints[world.State(endpoint, now)]++
 	}
+	for _, brokenAttempts := range world.BrokenAttempts.All() {
+		if brokenAttempts.Quarantined(now) {
+			s.Quarantined++
+		}
+	}
 	return s
 }
 
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -50,7 +50,7 @@
 	if !ok {
 		return refusal(modeler.ReasonNoEndpoint, maxRetryAfter), true
 	}
-	if brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint); brokenAttempts.Quarantined(now) {
+	if quarantined(now, world, request) {
 		return refusal(modeler.ReasonQuarantined, maxRetryAfter), true
 	}
 	if service.IsEngine() && service.Engine.Capacity > 0 && request.MaxMemory() > maxRequestSize(service.Engine) {
@@ -59,6 +59,24 @@
 	return modeler.Decision{}, false
 }
 
+// quarantined reports whether a request is refused because attempts with its fingerprint, or with a shared part of its prompt, have broken. A part
+// that is only suspected keeps a broken request from being sent again.
+func quarantined(now time.Time, world *modeler.World, request modeler.Request) bool {
+	if world.BrokenAttempts.Len() == 0 {
+		return false
+	}
+	if brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint); brokenAttempts.Quarantined(now) {
+		return true
+	}
+	for _, part := range request.SharedParts {
+		brokenAttempts, _ := world.BrokenAttempts.Get(part)
+		if brokenAttempts.Quarantined(now) || request.RepeatsBroken && brokenAttempts.Suspected(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // decide returns a decision, or false if the request keeps waiting. reject must not apply to the request.
 func (s *System) decide(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting) (modeler.Decision, bool) {
 	s.decisions++
--- a/internal/fleet/placer/placer_test.go
+++ b/internal/fleet/placer/placer_test.go
@@ -198,6 +198,15 @@
 	}
 }
 
+// suspected returns the count of a shared part with broken attempts of different requests, the first of them at the given time.
+func suspected(count int, firstAt time.Time) modeler.BrokenAttempts {
+	var b modeler.BrokenAttempts
+	for i := range count {
+		b = b.WithBrokenAttempt(firstAt).WithRequest(modeler.Fingerprint(i))
+	}
+	return b
+}
+
 // TestDecide guards against placements on endpoints that are out of service, and against requests that wait for a placement that is
 // impossible.
 func TestDecide(t *testing.T) {
@@ -222,8 +231,32 @@
 		{"too large", func(_ *testNode, r *modeler.Request) { r.Prompt = 5_000_000 }, 0, modeler.ReasonTooLarge, false},
 		{"quarantined", func(n *testNode, r *modeler.Request) {
 			r.Fingerprint = 7
-			n.world.BrokenAttempts.Put(7, modeler.BrokenAttempts{}.WithQuarantine(start))
+			n.world.BrokenAttempts.Put(7, modeler.BrokenAttempts{}.WithQuarantine(start, start, time.Minute))
 		}, 0, modeler.ReasonQuarantined, false},
+		{"shared part quarantined", func(n *testNode, r *modeler.Request) {
+			r.SharedParts = []modeler.Fingerprint{8, 9}
+			n.world.BrokenAttempts.Put(9, modeler.BrokenAttempts{}.WithQuarantine(start, start, time.Minute))
+		}, 0, modeler.ReasonQuarantined, false},
+		{"other shared part quarantined", func(n *testNode, r *modeler.Request) {
+			r.SharedParts = []modeler.Fingerprint{8}
+			n.world.BrokenAttempts.Put(9, modeler.BrokenAttempts{}.WithQuarantine(start, start, time.Minute))
+		}, 0, "", true},
+		{"first attempt with a suspected part", func(n *testNode, r *modeler.Request) {
+			r.SharedParts = []modeler.Fingerprint{9}
+			n.world.BrokenAttempts.Put(9, suspected(2, start.Add(-time.Second)))
+		}, 0, "", true},
+		{"repeat with a suspected part", func(n *testNode, r *modeler.Request) {
+			r.SharedParts, r.RepeatsBroken = []modeler.Fingerprint{9}, true
+			n.world.BrokenAttempts.Put(9, suspected(2, start.Add(-time.Second)))
+		}, 0, modeler.ReasonQuarantined, false},
+		{"repeat with a part that broke once", func(n *testNode, r *modeler.Request) {
+			r.SharedParts, r.RepeatsBroken = []modeler.Fingerprint{9}, true
+			n.world.BrokenAttempts.Put(9, suspected(1, start.Add(-time.Second)))
+		}, 0, "", true},
+		{"repeat before others could show that endpoints survive", func(n *testNode, r *modeler.Request) {
+			r.SharedParts, r.RepeatsBroken = []modeler.Fingerprint{9}, true
+			n.world.BrokenAttempts.Put(9, suspected(2, start.Add(-modeler.ObservationTime/2)))
+		}, 0, "", true},
 		{"unknown service", func(_ *testNode, r *modeler.Request) { r.Service = "other" }, 0, modeler.ReasonNoEndpoint, false},
 		{"no configuration", func(n *testNode, _ *modeler.Request) { n.world.Configuration = modeler.Configuration{} }, 0, modeler.ReasonNoConfiguration, false},
 	}
--- /dev/null
+++ b/internal/fleet/watcher/quarantine.go
@@ -0,0 +1,224 @@
+package watcher
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"damaskpick.example/damaskpick/internal/fleet/elector"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+const (
+	// survivalTime is how long an endpoint runs on after the first event of an attempt until the attempt shows that it survives the prompt.
+	survivalTime = 300 * time.Millisecond
+	// requestQuarantineTime and partQuarantineTime are the lengths of the first quarantine of a request and of a shared part, after the last
+	// broken attempt.
+	requestQuarantineTime = time.Minute
+	partQuarantineTime    = 10 * time.Minute
+	// brokenAttemptRetention is how long the broken attempts of a fingerprint are kept after the last one.
+	brokenAttemptRetention = 10 * time.Minute
+	// quarantineRetention is how long a fingerprint is kept after its quarantine. Until then, one more broken attempt quarantines it again.
+	quarantineRetention = 4 * time.Hour
+	// maxBrokenAttempts bounds the table. A data centre that fails breaks thousands of attempts at once, each with a fingerprint of its own.
+	maxBrokenAttempts = 2048
+	// digestDelay is the time after which the coordinator's digest covers a broken attempt of this node.
+	digestDelay = 2 * time.Second
+)
+
+// quarantinePolicy decides which broken attempts count for a fingerprint, and when requests with it are refused.
+type quarantinePolicy interface {
+	// with returns the count after the attempt, or false if the attempt does not count. placed is when it was placed.
+	with(b modeler.BrokenAttempts, e modeler.Ended, placed, now time.Time) (modeler.BrokenAttempts, bool)
+	// observation is the time after the first broken attempt in which requests are not refused.
+	observation() time.Duration
+	quarantineTime() time.Duration
+}
+
+// requestPolicy counts every broken attempt of a request.
+type requestPolicy struct{}
+
+func (requestPolicy) with(b modeler.BrokenAttempts, _ modeler.Ended, _, now time.Time) (modeler.BrokenAttempts, bool) {
+	return b.WithBrokenAttempt(now), true
+}
+
+func (requestPolicy) observation() time.Duration    { return 0 }
+func (requestPolicy) quarantineTime() time.Duration { return requestQuarantineTime }
+
+// partPolicy counts, for a shared part of prompts, broken attempts of different requests that were placed one after the other. If many
+// attempts break at one moment, as when a data centre fails, only one counts.
+type partPolicy struct{}
+
+func (partPolicy) with(b modeler.BrokenAttempts, e modeler.Ended, placed, now time.Time) (modeler.BrokenAttempts, bool) {
+	request := requestFingerprint(e)
+	if b.Count > 0 && placed.Before(b.At) || b.Count < modeler.QuarantineThreshold && slices.Contains(b.Requests, request) {
+		return b, false
+	}
+	return b.WithBrokenAttempt(now).WithRequest(request), true
+}
+
+func (partPolicy) observation() time.Duration    { return modeler.ObservationTime }
+func (partPolicy) quarantineTime() time.Duration { return partQuarantineTime }
+
+// requestFingerprint returns a fingerprint that differs between requests, also if they have no body.
+func requestFingerprint(e modeler.Ended) modeler.Fingerprint {
+	if e.Fingerprint != modeler.NoFingerprint {
+		return e.Fingerprint
+	}
+	callerID, _, _ := strings.Cut(string(e.ID), "/")
+	return modeler.Fingerprint(xxhash.Sum64String(callerID))
+}
+
+// countBroken counts a broken attempt for a fingerprint of its request or of a shared part.
+func countBroken[P quarantinePolicy](tick *modeler.Tick, world *modeler.World, policy P, fingerprint modeler.Fingerprint, e modeler.Ended) {
+	before, _ := world.BrokenAttempts.Get(fingerprint)
+	after, counts := policy.with(before, e, tick.Now.Add(-e.Age), tick.Now)
+	if !counts {
+		return
+	}
+	if after.Count >= modeler.QuarantineThreshold {
+		from := after.FirstAt.Add(policy.observation())
+		if from.Before(tick.Now) {
+			from = tick.Now
+		}
+		after = after.WithQuarantine(from, tick.Now, policy.quarantineTime())
+	}
+	if before.Count == 0 && world.BrokenAttempts.Len() >= maxBrokenAttempts {
+		evictBrokenAttempts(world)
+	}
+	world.BrokenAttempts.Put(fingerprint, after)
+	if after.Quarantines > before.Quarantines {
+		logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventQuarantined, Request: e.ID, Fields: []modeler.LogField{
+			{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{fingerprint})}, {Key: "SharedPart", Value: after.SharedPart},
+			{Key: "Count", Value: after.Count}, {Key: "For", Value: after.Until.Sub(tick.Now)},
+		}})
+	}
+}
+
+// logQuarantine emits a log event if this node places requests. What other nodes count from their own attempts refuses nothing.
+func logQuarantine(tick *modeler.Tick, world *modeler.World, event modeler.LogEvent) {
+	if _, forwards := elector.PlacingNode(world, tick.Now); !forwards {
+		tick.Emit(event)
+	}
+}
+
+// recordOutcome counts a broken attempt for its request and for the shared parts of its prompt, or removes the counts that its outcome refutes.
+func recordOutcome(tick *modeler.Tick, world *modeler.World, e modeler.Ended) {
+	if e.Outcome == modeler.Answered {
+		world.BrokenAttempts.Delete(e.Fingerprint)
+	}
+	if e.Outcome == modeler.Broken && e.Fingerprint != modeler.NoFingerprint {
+		countBroken(tick, world, requestPolicy{}, e.Fingerprint, e)
+	}
+	for _, part := range e.SharedParts {
+		if e.Survived {
+			clearPart(tick, world, part, e.ID, tick.Now.Add(-e.Age))
+		} else if e.Outcome == modeler.Broken {
+			countBroken(tick, world, partPolicy{}, part, e)
+		}
+	}
+}
+
+// clearPart removes the count of a shared part, since an endpoint survived an attempt with it that was placed after the first broken one.
+func clearPart(tick *modeler.Tick, world *modeler.World, part modeler.Fingerprint, id modeler.RequestID, placed time.Time) {
+	brokenAttempts, ok := world.BrokenAttempts.Get(part)
+	if !ok || placed.Before(brokenAttempts.FirstAt) {
+		return
+	}
+	world.BrokenAttempts.Delete(part)
+	if brokenAttempts.Count >= modeler.QuarantineThreshold {
+		logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventQuarantineLifted, Request: id, Fields: []modeler.LogField{
+			{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{part})}, {Key: "Count", Value: brokenAttempts.Count},
+			{Key: "Since", Value: tick.Now.Sub(brokenAttempts.FirstAt)},
+		}})
+	}
+}
+
+// survived reports whether the endpoint has run on for survivalTime after the first event of the attempt.
+func survived(a modeler.Assignment, now time.Time) bool {
+	return !a.FirstEventAt.IsZero() && now.Sub(a.FirstEventAt) >= survivalTime
+}
+
+// startedAttempt is an attempt that got its first event.
+type startedAttempt struct {
+	id modeler.RequestID
+	// due is when it shows that its endpoint survives the prompt, if it still runs.
+	due time.Time
+}
+
+// clearSurvived removes the counts of the shared parts of attempts that still run survivalTime after their first event.
+func (s *System) clearSurvived(tick *modeler.Tick, world *modeler.World) {
+	due := 0
+	for ; due < len(s.started) && !tick.Now.Before(s.started[due].due); due++ {
+		a, ok := world.Assignments.Get(s.started[due].id)
+		if !ok {
+			continue
+		}
+		for _, part := range a.Request.SharedParts {
+			clearPart(tick, world, part, a.Request.ID, a.Placed)
+		}
+	}
+	s.started = slices.Delete(s.started, 0, due)
+	if len(s.started) > 0 && world.BrokenAttempts.Len() > 0 {
+		tick.WakeAt(s.started[0].due)
+	}
+}
+
+// applySuspects merges the fingerprints of a digest. What the coordinator no longer lists was refuted by another node's attempt.
+func applySuspects(now time.Time, world *modeler.World, from modeler.NodeID, suspects []modeler.Suspect) {
+	if world.Coordinates() {
+		return
+	}
+	listed := make(map[modeler.Fingerprint]bool, len(suspects))
+	for _, suspect := range suspects {
+		listed[suspect.Fingerprint] = true
+		before, _ := world.BrokenAttempts.Get(suspect.Fingerprint)
+		world.BrokenAttempts.Put(suspect.Fingerprint, before.WithSuspect(suspect, now))
+	}
+	if from != world.Coordinator || len(suspects) >= elector.MaxSuspects {
+		return
+	}
+	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
+		if _, suspected := brokenAttempts.Suspect(fingerprint, now); suspected && !listed[fingerprint] && now.Sub(brokenAttempts.At) > digestDelay {
+			world.BrokenAttempts.Delete(fingerprint)
+		}
+	}
+}
+
+// evictBrokenAttempts removes a quarter of the table: first the fingerprints that never were quarantined, the oldest first.
+func evictBrokenAttempts(world *modeler.World) {
+	type entry struct {
+		fingerprint modeler.Fingerprint
+		modeler.BrokenAttempts
+	}
+	var entries []entry
+	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
+		entries = append(entries, entry{fingerprint, brokenAttempts})
+	}
+	slices.SortFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(min(a.Quarantines, 1), min(b.Quarantines, 1)), a.At.Compare(b.At))
+	})
+	for _, e := range entries[:len(entries)/4] {
+		world.BrokenAttempts.Delete(e.fingerprint)
+	}
+}
+
+// deleteOldBrokenAttempts deletes the broken attempts of fingerprints that had none for their retention.
+func (s *System) deleteOldBrokenAttempts(tick *modeler.Tick, world *modeler.World) {
+	if tick.Now.Before(s.nextDeletionAt) {
+		return
+	}
+	s.nextDeletionAt = tick.Now.Add(brokenAttemptRetention / 20)
+	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
+		end := brokenAttempts.At.Add(brokenAttemptRetention)
+		if brokenAttempts.Quarantines > 0 {
+			end = brokenAttempts.Until.Add(quarantineRetention)
+		}
+		if tick.Now.After(end) {
+			world.BrokenAttempts.Delete(fingerprint)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -0,0 +1,237 @@
+package watcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/fleet/watcher"
+)
+
+const part modeler.Fingerprint = 1 << 40
+
+// report is how an attempt with a shared part ended, as a node reports it.
+type report struct {
+	// at is the time of the report after start, and placed that of the placement.
+	at, placed  time.Duration
+	id          modeler.RequestID
+	fingerprint modeler.Fingerprint
+	outcome     modeler.Outcome
+	survived    bool
+}
+
+func (r report) event() modeler.Event {
+	return modeler.PeerReceived{Message: modeler.Message{From: "m", Body: modeler.Ended{
+		ID: r.id, Endpoint: "e", Outcome: r.outcome, Fingerprint: r.fingerprint, SharedParts: []modeler.Fingerprint{part}, Age: r.at - r.placed,
+		Survived: r.survived,
+	}}}
+}
+
+// broken returns the report of a request that broke 0.2 s after its placement.
+func broken(at time.Duration, fingerprint modeler.Fingerprint) report {
+	id := modeler.RequestID(fmt.Sprintf("r%d/0/i", fingerprint))
+	return report{at: at, placed: at - 200*time.Millisecond, id: id, fingerprint: fingerprint, outcome: modeler.Broken}
+}
+
+// TestSharedPartQuarantine guards against a part of prompts that crashes one endpoint after another in different requests, and against a
+// quarantine of parts that sound requests share.
+func TestSharedPartQuarantine(t *testing.T) {
+	const ms = time.Millisecond
+	noBody := func(at time.Duration, id modeler.RequestID) report {
+		r := broken(at, modeler.NoFingerprint)
+		r.id = id
+		return r
+	}
+	tests := []struct {
+		name    string
+		reports []report
+		// at is when the part is checked.
+		at   time.Duration
+		want bool
+	}{
+		{"three requests in turn", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 3)}, 700 * ms, true},
+		{"two requests", []report{broken(0, 1), broken(300*ms, 2)}, time.Second, false},
+		{"too early for others to survive", []report{broken(0, 1), broken(200*ms, 2), broken(400*ms, 3)}, 500 * ms, false},
+		{"later the same", []report{broken(0, 1), broken(200*ms, 2), broken(400*ms, 3)}, 600 * ms, true},
+		{"the same request", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 2), broken(1100*ms, 1)}, 2 * time.Second, false},
+		{"without a body", []report{noBody(0, "a/0/i"), noBody(300*ms, "b/0/i"), noBody(700*ms, "c/0/i")}, time.Second, true},
+		{"the same without a body", []report{noBody(0, "a/0/i"), noBody(300*ms, "a/1/i"), noBody(700*ms, "a/2/i")}, time.Second, false},
+		{"all at one moment", []report{broken(0, 1), broken(ms, 2), broken(2*ms, 3), broken(3*ms, 4)}, time.Second, false},
+		{
+			"an answer between",
+			[]report{broken(0, 1), broken(300*ms, 2), {at: 600 * ms, placed: ms, fingerprint: 3, survived: true}, broken(700*ms, 4)}, time.Second, false,
+		},
+		{
+			"a stream that broke after it had run on", []report{
+				broken(0, 1), broken(300*ms, 2), {at: 600 * ms, placed: ms, fingerprint: 3, outcome: modeler.Broken, survived: true}, broken(700*ms, 4),
+			}, time.Second, false,
+		},
+		{
+			"an answer of an attempt that was placed before", []report{
+				broken(0, 1), broken(300*ms, 2), {at: 600 * ms, placed: -time.Second, fingerprint: 3, survived: true}, broken(700*ms, 4),
+			}, time.Second, true,
+		},
+		{
+			"an answer afterwards", []report{
+				broken(0, 1), broken(300*ms, 2), broken(700*ms, 3), {at: 900 * ms, placed: 100 * ms, fingerprint: 4, survived: true},
+			}, time.Second, false,
+		},
+		{
+			"other failures", []report{
+				{at: 300 * ms, fingerprint: 1, outcome: modeler.Failed}, {at: 600 * ms, placed: 300 * ms, fingerprint: 2, outcome: modeler.Silent},
+				{at: 900 * ms, placed: 600 * ms, fingerprint: 3, outcome: modeler.Unreachable},
+			}, time.Second, false,
+		},
+		{"ended after ten minutes", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 3)}, 10*time.Minute + 700*ms, false},
+		{
+			"once more after its end", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 3), broken(11*time.Minute, 4)},
+			11*time.Minute + 19*time.Minute, true,
+		},
+		{
+			"ended after twice as long", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 3), broken(11*time.Minute, 4)},
+			11*time.Minute + 20*time.Minute, false,
+		},
+		{"crashes days apart", []report{broken(0, 1), broken(24*time.Hour, 2), broken(48*time.Hour, 3)}, 48 * time.Hour, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			// The endpoint is not in the table: its entry may be removed before the attempt is reported.
+			world, system := modeler.NewWorld(modeler.Node{ID: "n"}), watcher.New()
+			for _, r := range tt.reports {
+				system.Run(&modeler.Tick{Now: start.Add(r.at)}, world)
+				system.Run(&modeler.Tick{Now: start.Add(r.at), Events: []modeler.Event{r.event()}}, world)
+			}
+			brokenAttempts, _ := world.BrokenAttempts.Get(part)
+			assert.Equal(t, brokenAttempts.Quarantined(start.Add(tt.at)), tt.want)
+		})
+	}
+}
+
+// TestRunningStreamClearsPart guards against a quarantine of a sound part for as long as the streams with it last.
+func TestRunningStreamClearsPart(t *testing.T) {
+	tests := []struct {
+		name   string
+		placed time.Duration
+		after  time.Duration
+		want   bool
+	}{
+		{"ran on", 0, 300 * time.Millisecond, true},
+		{"not long enough", 0, 200 * time.Millisecond, false},
+		{"placed before the first broken attempt", -time.Second, 300 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world, system := modeler.NewWorld(modeler.Node{ID: "n"}), watcher.New()
+			world.BrokenAttempts.Put(part, modeler.BrokenAttempts{}.WithBrokenAttempt(start).WithRequest(1))
+			world.Assign(modeler.Assignment{
+				Request: modeler.Request{ID: "r", Node: "n", SharedParts: []modeler.Fingerprint{part}}, Plan: modeler.Plan{Endpoint: modeler.Endpoint{ID: "e"}},
+				Placed: start.Add(tt.placed),
+			})
+			system.Run(&modeler.Tick{Now: start, Events: []modeler.Event{modeler.AttemptStarted{ID: "r"}}}, world)
+			system.Run(&modeler.Tick{Now: start.Add(tt.after)}, world)
+			_, ok := world.BrokenAttempts.Get(part)
+			assert.Equal(t, !ok, tt.want)
+		})
+	}
+}
+
+// TestEndedEvidence guards against a report that leaves out what an attempt shows about shared parts, and against longer messages without need.
+func TestEndedEvidence(t *testing.T) {
+	parts := []modeler.Fingerprint{part}
+	tests := []struct {
+		name       string
+		outcome    modeler.Outcome
+		firstEvent time.Duration
+		want       modeler.Ended
+	}{
+		{"answered", modeler.Answered, 0, modeler.Ended{SharedParts: parts, Age: time.Second, Survived: true}},
+		{"broken before the first event", modeler.Broken, 0, modeler.Ended{SharedParts: parts, Age: time.Second}},
+		{"broken soon after it", modeler.Broken, 900 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second}},
+		{"broken later", modeler.Broken, 600 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second, Survived: true}},
+		{"caller left a running stream", modeler.Abandoned, 600 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second, Survived: true}},
+		{"caller left early", modeler.Abandoned, 0, modeler.Ended{}},
+		{"shed", modeler.Shed, 0, modeler.Ended{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			world.Nodes.Put("c", modeler.Node{ID: "c"})
+			world.Coordinator = "c"
+			assignment := modeler.Assignment{
+				Request: modeler.Request{ID: "r", Node: "n", SharedParts: parts}, Plan: modeler.Plan{Endpoint: modeler.Endpoint{ID: "e"}}, Placed: start,
+			}
+			if tt.firstEvent > 0 {
+				assignment = assignment.WithFirstEvent(start.Add(tt.firstEvent))
+			}
+			world.Assign(assignment)
+			tick := &modeler.Tick{Now: start.Add(time.Second), Events: []modeler.Event{modeler.AttemptEnded{ID: "r", Outcome: tt.outcome}}}
+			watcher.New().Run(tick, world)
+			tt.want.ID, tt.want.Endpoint, tt.want.Outcome = "r", "e", tt.outcome
+			var got []modeler.Ended
+			for _, effect := range tick.Effects() {
+				if send, ok := effect.(modeler.Send); ok {
+					got = append(got, send.Message.Body.(modeler.Ended))
+				}
+			}
+			assert.DeepEqual(t, got, []modeler.Ended{tt.want})
+		})
+	}
+}
+
+// TestSuspects guards against a quarantine that ends with the coordinator, and against one that stays on other nodes after it was lifted.
+func TestSuspects(t *testing.T) {
+	quarantined := modeler.BrokenAttempts{}.WithBrokenAttempt(start).WithRequest(1).WithQuarantine(start, start, time.Hour)
+	listed := []modeler.Suspect{{Fingerprint: part, Count: 3, SharedPart: true, QuarantinedFor: time.Minute}}
+	tests := []struct {
+		name        string
+		coordinator modeler.NodeID
+		from        modeler.NodeID
+		known       bool
+		suspects    []modeler.Suspect
+		at          time.Duration
+		want        bool
+	}{
+		{"learned", "c", "c", false, listed, 0, true},
+		{"learned from the coordinator before", "d", "c", false, listed, 0, true},
+		{"until its end", "c", "c", false, listed, time.Minute, false},
+		{"lifted by the coordinator", "c", "c", true, nil, 3 * time.Second, false},
+		{"the coordinator may not know it yet", "c", "c", true, nil, time.Second, true},
+		{"another node does not list it", "d", "c", true, nil, 3 * time.Second, true},
+		{"this node coordinates", "n", "c", false, listed, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			world.Coordinator = tt.coordinator
+			if tt.known {
+				world.BrokenAttempts.Put(part, quarantined)
+			}
+			digestAt := start
+			if tt.known {
+				digestAt = start.Add(tt.at)
+			}
+			message := modeler.Message{From: tt.from, Body: modeler.Digest{Suspects: tt.suspects}}
+			watcher.New().Run(&modeler.Tick{Now: digestAt, Events: []modeler.Event{modeler.PeerReceived{Message: message}}}, world)
+			brokenAttempts, _ := world.BrokenAttempts.Get(part)
+			assert.Equal(t, brokenAttempts.Quarantined(start.Add(tt.at)), tt.want)
+		})
+	}
+}
+
+// TestBrokenAttemptsAreBounded guards against a table that grows with each broken attempt, and against a quarantine that is lost to it.
+func TestBrokenAttemptsAreBounded(t *testing.T) {
+	world, system := modeler.NewWorld(modeler.Node{ID: "n"}), watcher.New()
+	world.BrokenAttempts.Put(part, modeler.BrokenAttempts{}.WithBrokenAttempt(start).WithRequest(1).WithQuarantine(start, start, time.Hour))
+	now := start
+	for i := range 10_000 {
+		now = now.Add(time.Millisecond)
+		body := modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Broken, Fingerprint: modeler.Fingerprint(i + 1)}
+		system.Run(&modeler.Tick{Now: now, Events: []modeler.Event{modeler.PeerReceived{Message: modeler.Message{From: "m", Body: body}}}}, world)
+	}
+	assert.Assert(t, world.BrokenAttempts.Len() <= 2048, "%d rows", world.BrokenAttempts.Len())
+	brokenAttempts, _ := world.BrokenAttempts.Get(part)
+	assert.Assert(t, brokenAttempts.Quarantined(now))
+}
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -10,15 +10,16 @@
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
-// brokenAttemptRetention is how long the broken attempts of a fingerprint are kept after the last one.
-const brokenAttemptRetention = 2 * time.Minute
-
 // aliveWindow is how recently an endpoint must have sent an event or response of any request to count as alive when it has sent nothing for
 // another request for too long. It covers a few passes of a loaded engine.
 const aliveWindow = 700 * time.Millisecond
 
 // System maintains Health and BrokenAttempts, and removes the assignments of ended attempts.
-type System struct{ nextDeletionAt time.Time }
+type System struct {
+	nextDeletionAt time.Time
+	// started holds the attempts that got their first event within survivalTime, the oldest first.
+	started []startedAttempt
+}
 
 // New returns a System.
 func New() *System { return &System{} }
@@ -28,7 +29,7 @@
 	for _, event := range tick.Events {
 		switch e := event.(type) {
 		case modeler.AttemptStarted:
-			recordFirstEvent(tick, world, e.ID)
+			s.recordFirstEvent(tick, world, e.ID)
 		case modeler.AttemptSilent:
 			handleSilence(tick, world, e.ID)
 		case modeler.AttemptEnded:
@@ -36,34 +37,32 @@
 		case modeler.PeerReceived:
 			switch body := e.Message.Body.(type) {
 			case modeler.Started:
-				recordFirstEvent(tick, world, body.ID)
+				s.recordFirstEvent(tick, world, body.ID)
 			case modeler.Ended:
 				if a, ok := world.Assignments.Get(body.ID); ok {
 					sampleEnded(tick, world, a)
 				}
 				world.Unassign(body.ID)
+				recordOutcome(tick, world, body)
 				updateHealth(tick, world, body)
 			case modeler.Digest:
-				for _, fingerprint := range body.Quarantined {
-					brokenAttempts, _ := world.BrokenAttempts.Get(fingerprint)
-					if !brokenAttempts.Quarantined(tick.Now) {
-						world.BrokenAttempts.Put(fingerprint, brokenAttempts.WithQuarantine(tick.Now))
-					}
-				}
+				applySuspects(tick.Now, world, e.Message.From, body.Suspects)
 			}
 		}
 	}
+	s.clearSurvived(tick, world)
 	s.deleteOldBrokenAttempts(tick, world)
 }
 
 // recordFirstEvent marks the endpoint of an attempt as alive after the attempt's first event, and updates the paces of its engines.
-func recordFirstEvent(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) {
+func (s *System) recordFirstEvent(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) {
 	a, ok := world.Assignments.Get(id)
 	if !ok {
 		return
 	}
 	if a.FirstEventAt.IsZero() {
 		samplePace(tick, world, a)
+		s.started = append(s.started, startedAttempt{id: id, due: tick.Now.Add(survivalTime)})
 	}
 	health, _ := world.Health.Get(a.Plan.Endpoint.ID)
 	world.Health.Put(a.Plan.Endpoint.ID, health.WithActivity(tick.Now))
@@ -147,21 +146,26 @@
 		// The endpoint refused the request because this helper does not process its part: it has stopped or is leaving.
 		ended.Endpoint, ended.Outcome = e.FaultyEngine, modeler.Unreachable
 	}
+	ended.Survived = e.Outcome == modeler.Answered || survived(assignment, tick.Now)
+	if ended.Survived || e.Outcome == modeler.Broken {
+		ended.SharedParts, ended.Age = assignment.Request.SharedParts, tick.Now.Sub(assignment.Placed)
+	}
 	if ended.Outcome == modeler.Broken {
 		tick.Emit(modeler.LogEvent{Name: modeler.LogEventAttemptBroken, Request: e.ID, Fields: []modeler.LogField{
 			{Key: "Endpoint", Value: string(ended.Endpoint)}, {Key: "Age", Value: tick.Now.Sub(assignment.Placed)},
 			{Key: "FirstEvent", Value: !assignment.FirstEventAt.IsZero()},
+			{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{ended.Fingerprint})},
 			{Key: "SharedParts", Value: modeler.JoinFingerprints(assignment.Request.SharedParts)},
 		}})
 	}
+	recordOutcome(tick, world, ended)
 	updateHealth(tick, world, ended)
 	if placing, ok := elector.PlacingNode(world, tick.Now); ok {
 		tick.Emit(modeler.Send{To: placing, Message: world.Message(ended)})
 	}
 }
 
-// updateHealth updates the endpoint's health and the broken attempts of the request's fingerprint. It emits a log event if the endpoint
-// starts or stops being avoided or misdirected.
+// updateHealth updates the endpoint's health. It emits a log event if the endpoint starts or stops being avoided or misdirected.
 func updateHealth(tick *modeler.Tick, world *modeler.World, e modeler.Ended) {
 	if _, ok := world.Endpoints.Get(e.Endpoint); !ok {
 		return
@@ -171,19 +175,12 @@
 	switch e.Outcome {
 	case modeler.Answered:
 		health = health.WithSuccess(tick.Now)
-		world.BrokenAttempts.Delete(e.Fingerprint)
 	case modeler.Abandoned, modeler.Shed:
 		return
-	case modeler.Failed, modeler.Garbled:
+	case modeler.Failed, modeler.Garbled, modeler.Broken:
 		health = health.WithError(tick.Now)
 	case modeler.Misdirected:
 		health = health.WithMisdirected()
-	case modeler.Broken:
-		health = health.WithError(tick.Now)
-		if e.Fingerprint != modeler.NoFingerprint {
-			brokenAttempts, _ := world.BrokenAttempts.Get(e.Fingerprint)
-			world.BrokenAttempts.Put(e.Fingerprint, brokenAttempts.WithBrokenAttempt(tick.Now))
-		}
 	case modeler.Unreachable:
 		health = health.WithNoResponse(tick.Now)
 	case modeler.Silent:
@@ -202,16 +199,3 @@
 		}})
 	}
 }
-
-// deleteOldBrokenAttempts deletes the broken attempts of fingerprints that had none for brokenAttemptRetention.
-func (s *System) deleteOldBrokenAttempts(tick *modeler.Tick, world *modeler.World) {
-	if tick.Now.Before(s.nextDeletionAt) {
-		return
-	}
-	s.nextDeletionAt = tick.Now.Add(brokenAttemptRetention / 4)
-	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
-		if tick.Now.Sub(brokenAttempts.At) > brokenAttemptRetention {
-			world.BrokenAttempts.Delete(fingerprint)
-		}
-	}
-}
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -67,7 +67,7 @@
 	assert.Assert(t, !brokenAttempts.Quarantined(start.Add(2*time.Minute)))
 
 	other := modeler.NewWorld(modeler.Node{ID: "m"})
-	digest := modeler.Digest{Quarantined: []modeler.Fingerprint{7}}
+	digest := modeler.Digest{Suspects: []modeler.Suspect{{Fingerprint: 7, Count: 3, QuarantinedFor: time.Minute}}}
 	watcher.New().Run(&modeler.Tick{Now: start, Events: []modeler.Event{modeler.PeerReceived{Message: modeler.Message{From: "n", Body: digest}}}}, other)
 	received, _ := other.BrokenAttempts.Get(7)
 	assert.Assert(t, received.Quarantined(start))
