Give the nodes of parallel tests addresses of their own

One of ten runs of TestCrashingPartEndsFewEngines failed on: in the case without a body a condition was not met within 10 s; its duration shows that it was the start of the nodes. The cases run in parallel, and a node's ports are chosen by opening and closing a listener before the node binds them.

Each node of these cases, and each engine, has a loopback address of its own now. No check changes.

--- a/internal/fleet/assembler/crashing_part_test.go
+++ b/internal/fleet/assembler/crashing_part_test.go
@@ -77,12 +77,15 @@
 		{"identical repeats", "aa01:800,dd04:300,%d:100", 16, 3, "crashing %d"},
 		{"without a body", "aa01:800,dd04:300,%d:100", 8, 1, ""},
 	}
-	for _, tt := range tests {
+	for i, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			engines := crashingEngines(12)
+			network := fmt.Sprintf("127.0.%d.", i+1)
+			engines := crashingEngines(12, network)
 			s := newSiteWith(t, engines)
-			nodes := []*node{s.start(t, "n1", "dc-a"), s.start(t, "n2", "dc-b"), s.start(t, "n3", "dc-a")}
+			nodes := []*node{
+				s.startAt(t, network+"101", "n1", "dc-a"), s.startAt(t, network+"102", "n2", "dc-b"), s.startAt(t, network+"103", "n3", "dc-a"),
+			}
 			waitFor(t, func() bool {
 				return !slices.ContainsFunc(nodes, func(n *node) bool { return n.call("/stream/1", "ready").code != http.StatusOK })
 			})
@@ -134,13 +137,13 @@
 	}
 }
 
-// crashingEngines returns engines that crash on crashingPart.
-func crashingEngines(count int) []*platformtest.Endpoint {
+// crashingEngines returns engines that crash on crashingPart, with addresses in the given network.
+func crashingEngines(count int, network string) []*platformtest.Endpoint {
 	engines := make([]*platformtest.Endpoint, 0, count)
 	for i := range count {
 		engine := &platformtest.Endpoint{
 			ID: fmt.Sprint("engine-", i), Service: platformtest.EngineService, DataCentre: []string{"dc-a", "dc-b"}[i%2],
-			Slots: 4, Events: 15, Pause: 30 * time.Millisecond, IP: fmt.Sprint("127.0.1.", i+1),
+			Slots: 4, Events: 15, Pause: 30 * time.Millisecond, IP: fmt.Sprint(network, i+1),
 		}
 		engine.SetFault(platformtest.EndpointFault{CrashingPart: crashingPart, DownFor: 700 * time.Millisecond})
 		engines = append(engines, engine)
--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -62,10 +62,17 @@
 }
 
 func (s *testSite) start(t *testing.T, name, dc string) *node {
+	t.Helper()
+	return s.startAt(t, "127.0.0.1", name, dc)
+}
+
+// startAt starts a node that listens on the given loopback address. Nodes that start at the same time need addresses of their own: a free port
+// may be given to both.
+func (s *testSite) startAt(t *testing.T, ip, name, dc string) *node {
 	t.Helper()
 	settings := loader.Settings{
-		Node:   loader.Node{Name: name, IP: "127.0.0.1", DataCentre: dc, Region: "r"},
-		Listen: loader.Listen{Callers: freeTCPAddress(t), Ready: freeTCPAddress(t), Addresses: freeTCPAddress(t), PeerPorts: []int{freeUDPPort(t), 65535}},
+		Node:   loader.Node{Name: name, IP: ip, DataCentre: dc, Region: "r"},
+		Listen: loader.Listen{Callers: freeTCPAddress(t, ip), Ready: freeTCPAddress(t, ip), Addresses: freeTCPAddress(t, ip), PeerPorts: []int{freeUDPPort(t, ip), 65535}},
 		Store:  loader.Store{Address: s.address}, Limits: loader.Limits{MemoryMB: 1000},
 		Bounds: loader.Bounds{
 			GraceSeconds: 3, RetryBudgetRatio: 0.2, RetryBudgetSlack: 100, BudgetWindowSeconds: 10, ColdFactor: 1.5, ColdSlack: 5,
@@ -86,17 +93,17 @@
 	return n
 }
 
-func freeTCPAddress(t *testing.T) string {
+func freeTCPAddress(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, l.Close()) }()
 	return l.Addr().String()
 }
 
-func freeUDPPort(t *testing.T) int {
+func freeUDPPort(t *testing.T, ip string) int {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	conn, err := net.ListenPacket("udp4", net.JoinHostPort(ip, "0"))
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, conn.Close()) }()
 	return conn.LocalAddr().(*net.UDPAddr).Port
