Refuse only prompts with all parts that may crash engines

All three crashed requests had it beside the deadly part, and no other request with it was placed in the half second between them, so that both parts were quarantined; nothing with the sound one was placed afterwards that could have cleared it.

Change: the count of a part keeps its companions, the parts that all counted requests had. A prompt is refused only if it has all of them. One that lacks a companion is placed: its answer clears the part, and its crash takes the companion off the other part's list. The digest has at most 16 suspects with up to four companions.

--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -22,7 +22,7 @@
 	// without the coordinator has to avoid these.
 	maxLoads = 64
 	// MaxSuspects is the maximum number of fingerprints in a digest.
-	MaxSuspects = 32
+	MaxSuspects = 16
 )
 
 // digest returns the digest that the coordinator sends to all nodes.
--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -13,6 +13,8 @@
 	// ObservationTime is the time after the first broken attempt with a shared part in which another attempt with the part, placed right after it,
 	// shows that endpoints survive it. Nothing is refused before.
 	ObservationTime = 600 * time.Millisecond
+	// maxCompanions bounds the companions of a shared part, which are in the digest.
+	maxCompanions = 4
 	// maxQuarantineTime bounds the quarantine of a fingerprint that is quarantined again and again.
 	maxQuarantineTime = 4 * time.Hour
 )
@@ -24,6 +26,9 @@
 	FirstAt, At time.Time
 	// SharedPart is set for the fingerprint of a shared part.
 	SharedPart bool
+	// Companions holds the shared parts, this one among them, that all requests had which were counted for it. Any of them may be the cause. It
+	// must not be modified.
+	Companions []Fingerprint
 	// Requests holds the fingerprints of the requests that were counted for a shared part, each once. It must not be modified.
 	Requests []Fingerprint
 	// From and Until are the beginning and the end of the last quarantine. Quarantines is the number of quarantines.
@@ -40,8 +45,9 @@
 	return b
 }
 
-// WithRequest returns the count of a shared part with a request that it was counted for.
-func (b BrokenAttempts) WithRequest(request Fingerprint) BrokenAttempts {
+// WithRequest returns the count of a shared part with a request that it was counted for and the shared parts of its prompt.
+func (b BrokenAttempts) WithRequest(request Fingerprint, parts []Fingerprint) BrokenAttempts {
+	b = b.withCompanions(parts, !b.SharedPart)
 	b.SharedPart = true
 	if !slices.Contains(b.Requests, request) {
 		b.Requests = append(slices.Clip(b.Requests), request)
@@ -49,6 +55,22 @@
 	return b
 }
 
+// withCompanions sets Companions for the first request, and removes those that are not in parts for later ones.
+func (b BrokenAttempts) withCompanions(parts []Fingerprint, first bool) BrokenAttempts {
+	if first {
+		b.Companions = parts[:min(len(parts), maxCompanions)]
+		return b
+	}
+	b.Companions = slices.DeleteFunc(slices.Clone(b.Companions), func(part Fingerprint) bool { return !slices.Contains(parts, part) })
+	return b
+}
+
+// Blames reports whether a prompt with the given shared parts, this one among them, has all parts that may be the cause. One that lacks some of
+// them shows whether they are.
+func (b BrokenAttempts) Blames(parts []Fingerprint) bool {
+	return !slices.ContainsFunc(b.Companions, func(part Fingerprint) bool { return !slices.Contains(parts, part) })
+}
+
 // WithQuarantine returns the count after a broken attempt at the time at that causes or prolongs a quarantine. The first quarantine lasts for
 // the given time; each further one lasts twice as long as the one before.
 func (b BrokenAttempts) WithQuarantine(from, at time.Time, first time.Duration) BrokenAttempts {
@@ -80,13 +102,14 @@
 	Fingerprint Fingerprint
 	Count       int
 	SharedPart  bool
+	Companions  []Fingerprint
 	// QuarantinedFor is the rest of the quarantine; zero if there is none.
 	QuarantinedFor time.Duration
 }
 
 // Suspect returns the digest's entry for the fingerprint, or false if other nodes need not know it.
 func (b BrokenAttempts) Suspect(fingerprint Fingerprint, now time.Time) (Suspect, bool) {
-	suspect := Suspect{Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart}
+	suspect := Suspect{Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions}
 	if b.Quarantined(now) {
 		suspect.QuarantinedFor = b.Until.Sub(now)
 	}
@@ -95,6 +118,7 @@
 
 // WithSuspect returns the count after another node reported the fingerprint: the higher count and the later end of the quarantine.
 func (b BrokenAttempts) WithSuspect(suspect Suspect, now time.Time) BrokenAttempts {
+	b = b.withCompanions(suspect.Companions, !b.SharedPart)
 	if b.Count < suspect.Count {
 		if b.Count == 0 {
 			b.FirstAt = now
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -59,8 +59,8 @@
 	return modeler.Decision{}, false
 }
 
-// quarantined reports whether a request is refused because attempts with its fingerprint, or with a shared part of its prompt, have broken. A part
-// that is only suspected keeps a broken request from being sent again.
+// quarantined reports whether a request is refused because attempts with its fingerprint, or with a shared part of its prompt, have broken. A
+// part that is only suspected keeps a broken request from being sent again. A prompt is not refused if it lacks a part that all broken ones had.
 func quarantined(now time.Time, world *modeler.World, request modeler.Request) bool {
 	if world.BrokenAttempts.Len() == 0 {
 		return false
@@ -70,7 +70,8 @@
 	}
 	for _, part := range request.SharedParts {
 		brokenAttempts, _ := world.BrokenAttempts.Get(part)
-		if brokenAttempts.Quarantined(now) || request.RepeatsBroken && brokenAttempts.Suspected(now) {
+		refused := brokenAttempts.Quarantined(now) || request.RepeatsBroken && brokenAttempts.Suspected(now)
+		if refused && brokenAttempts.Blames(request.SharedParts) {
 			return true
 		}
 	}
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -57,7 +57,7 @@
 	if b.Count > 0 && placed.Before(b.At) || b.Count < modeler.QuarantineThreshold && slices.Contains(b.Requests, request) {
 		return b, false
 	}
-	return b.WithBrokenAttempt(now).WithRequest(request), true
+	return b.WithBrokenAttempt(now).WithRequest(request, e.SharedParts), true
 }
 
 func (partPolicy) observation() time.Duration    { return modeler.ObservationTime }
