Give each node of the tests a loopback address of its own

TestStoreUnavailable/silent failed once beside the tests of other packages: "listen tcp4 127.0.0.1:33553: bind: address already in use". All nodes and the engines that restart have addresses of their own now. TestNodesServe compares the addresses that a node names with those of both nodes, where it counted 127.0.0.1.

--- a/internal/fleet/assembler/crashing_part_test.go
+++ b/internal/fleet/assembler/crashing_part_test.go
@@ -80,15 +80,12 @@
 		{"without a body", "aa01:800,dd04:300,%d:100", 8, 1, "", 0},
 		{"no sound request with the first part meanwhile", "aa01:800,dd04:300,%d:100", 8, 1, "crashing %d", 1500 * time.Millisecond},
 	}
-	for i, tt := range tests {
+	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			network := fmt.Sprintf("127.0.%d.", i+1)
-			engines := crashingEngines(12, network)
+			engines := crashingEngines(12)
 			s := newSiteWith(t, engines)
-			nodes := []*node{
-				s.startAt(t, network+"101", "n1", "dc-a"), s.startAt(t, network+"102", "n2", "dc-b"), s.startAt(t, network+"103", "n3", "dc-a"),
-			}
+			nodes := []*node{s.start(t, "n1", "dc-a"), s.start(t, "n2", "dc-b"), s.start(t, "n3", "dc-a")}
 			waitFor(t, func() bool {
 				return !slices.ContainsFunc(nodes, func(n *node) bool { return n.call("/stream/1", "ready").code != http.StatusOK })
 			})
@@ -142,13 +139,13 @@
 	}
 }
 
-// crashingEngines returns engines that crash on crashingPart, with addresses in the given network.
-func crashingEngines(count int, network string) []*platformtest.Endpoint {
+// crashingEngines returns engines that crash on crashingPart.
+func crashingEngines(count int) []*platformtest.Endpoint {
 	engines := make([]*platformtest.Endpoint, 0, count)
 	for i := range count {
 		engine := &platformtest.Endpoint{
 			ID: fmt.Sprint("engine-", i), Service: platformtest.EngineService, DataCentre: []string{"dc-a", "dc-b"}[i%2],
-			Slots: 4, Events: 15, Pause: 30 * time.Millisecond, IP: fmt.Sprint(network, i+1),
+			Slots: 4, Events: 15, Pause: 30 * time.Millisecond, IP: newLoopback(),
 		}
 		engine.SetFault(platformtest.EndpointFault{CrashingPart: crashingPart, DownFor: 700 * time.Millisecond})
 		engines = append(engines, engine)
--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,15 +63,19 @@
 	stop     func() error
 }
 
-func (s *testSite) start(t *testing.T, name, dc string) *node {
-	t.Helper()
-	return s.startAt(t, "127.0.0.1", name, dc)
+// loopbacks counts the addresses that newLoopback has returned.
+var loopbacks atomic.Uint32
+
+// newLoopback returns a loopback address that nothing else in this process uses. On a shared address, a port that was free when it was chosen may
+// be taken before the node listens on it.
+func newLoopback() string {
+	n := loopbacks.Add(1)
+	return fmt.Sprintf("127.1.%d.%d", n/250, n%250+1)
 }
 
-// startAt starts a node that listens on the given loopback address. Nodes that start at the same time need addresses of their own: a free port
-// may be given to both.
-func (s *testSite) startAt(t *testing.T, ip, name, dc string) *node {
+func (s *testSite) start(t *testing.T, name, dc string) *node {
 	t.Helper()
+	ip := newLoopback()
 	settings := loader.Settings{
 		Node:   loader.Node{Name: name, IP: ip, DataCentre: dc, Region: "r"},
 		Listen: loader.Listen{Callers: freeTCPAddress(t, ip), Ready: freeTCPAddress(t, ip), Addresses: freeTCPAddress(t, ip), PeerPorts: []int{freeUDPPort(t, ip), 65535}},
@@ -187,7 +193,13 @@
 	for id, n := range runs {
 		assert.Equal(t, n, 1, "%s", id)
 	}
-	waitFor(t, func() bool { return strings.Count(addresses(t, nodes[0]), "127.0.0.1") == 2 })
+	waitFor(t, func() bool {
+		got := strings.Fields(addresses(t, nodes[0]))
+		slices.Sort(got)
+		want := []string{nodes[0].settings.Listen.Callers, nodes[1].settings.Listen.Callers}
+		slices.Sort(want)
+		return slices.Equal(got, want)
+	})
 }
 
 func addresses(t *testing.T, n *node) string {
