Refuse callers' repeats of requests whose shared part is suspected

Change: while a part is suspected, a request that was counted for it is refused also when its caller repeats it. The new case of TestDecide failed before.

--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -29,7 +29,7 @@
 	// Companions holds the shared parts, this one among them, that all requests had which were counted for it. Any of them may be the cause. It
 	// must not be modified.
 	Companions []Fingerprint
-	// Requests holds the fingerprints of the requests that were counted for a shared part, each once. It must not be modified.
+	// Requests holds the fingerprints of the first QuarantineThreshold requests that were counted for a shared part. It must not be modified.
 	Requests []Fingerprint
 	// From and Until are the beginning and the end of the last quarantine. Quarantines is the number of quarantines.
 	From, Until time.Time
@@ -49,12 +49,17 @@
 func (b BrokenAttempts) WithRequest(request Fingerprint, parts []Fingerprint) BrokenAttempts {
 	b = b.withCompanions(parts, !b.SharedPart)
 	b.SharedPart = true
-	if !slices.Contains(b.Requests, request) {
+	if len(b.Requests) < QuarantineThreshold && !slices.Contains(b.Requests, request) {
 		b.Requests = append(slices.Clip(b.Requests), request)
 	}
 	return b
 }
 
+// CountedFor reports whether a broken attempt of the request was counted for this shared part.
+func (b BrokenAttempts) CountedFor(request Fingerprint) bool {
+	return request != NoFingerprint && slices.Contains(b.Requests, request)
+}
+
 // withCompanions sets Companions for the first request, and removes those that are not in parts for later ones.
 func (b BrokenAttempts) withCompanions(parts []Fingerprint, first bool) BrokenAttempts {
 	if first {
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -60,7 +60,8 @@
 }
 
 // quarantined reports whether a request is refused because attempts with its fingerprint, or with a shared part of its prompt, have broken. A
-// part that is only suspected keeps a broken request from being sent again. A prompt is not refused if it lacks a part that all broken ones had.
+// part that is only suspected keeps a broken request from being sent again, also under a new id. A prompt is not refused if it lacks a part that
+// all broken ones had.
 func quarantined(now time.Time, world *modeler.World, request modeler.Request) bool {
 	if world.BrokenAttempts.Len() == 0 {
 		return false
@@ -70,7 +71,8 @@
 	}
 	for _, part := range request.SharedParts {
 		brokenAttempts, _ := world.BrokenAttempts.Get(part)
-		refused := brokenAttempts.Quarantined(now) || request.RepeatsBroken && brokenAttempts.Suspected(now)
+		repeats := request.RepeatsBroken || brokenAttempts.CountedFor(request.Fingerprint)
+		refused := brokenAttempts.Quarantined(now) || repeats && brokenAttempts.Suspected(now)
 		if refused && brokenAttempts.Blames(request.SharedParts) {
 			return true
 		}
--- a/internal/fleet/placer/placer_test.go
+++ b/internal/fleet/placer/placer_test.go
@@ -202,7 +202,7 @@
 func suspected(count int, firstAt time.Time, parts ...modeler.Fingerprint) modeler.BrokenAttempts {
 	var b modeler.BrokenAttempts
 	for i := range count {
-		b = b.WithBrokenAttempt(firstAt).WithRequest(modeler.Fingerprint(i), parts)
+		b = b.WithBrokenAttempt(firstAt).WithRequest(modeler.Fingerprint(i+1), parts)
 	}
 	return b
 }
@@ -257,6 +257,10 @@
 			r.SharedParts, r.RepeatsBroken = []modeler.Fingerprint{9}, true
 			n.world.BrokenAttempts.Put(9, suspected(2, start.Add(-time.Second)))
 		}, 0, modeler.ReasonQuarantined, false},
+		{"caller's repeat with a suspected part", func(n *testNode, r *modeler.Request) {
+			r.SharedParts, r.Fingerprint = []modeler.Fingerprint{9}, 2
+			n.world.BrokenAttempts.Put(9, suspected(2, start.Add(-time.Second)))
+		}, 0, modeler.ReasonQuarantined, false},
 		{"repeat with a part that broke once", func(n *testNode, r *modeler.Request) {
 			r.SharedParts, r.RepeatsBroken = []modeler.Fingerprint{9}, true
 			n.world.BrokenAttempts.Put(9, suspected(1, start.Add(-time.Second)))
