Probe a quarantined shared part with one request

A stream with this part alone broke beside a crashing request, soon after its first event, and was counted for the part, so that the part had no companions any more; nothing with it was placed afterwards that could clear it.

Cause: the quarantine took away the only evidence that could end it.

Change: 1.5 s after a quarantine began, the coordinator places one request that is refused for this part only. If it runs on, the part is cleared; if it breaks, the quarantine goes on without another one. If it shows nothing within 5 s, the next one is placed.

--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -15,6 +15,11 @@
 	ObservationTime = 600 * time.Millisecond
 	// maxCompanions bounds the companions of a shared part, which are in the digest.
 	maxCompanions = 4
+	// probeDelay is the time from the beginning of a shared part's quarantine to its probe: one request that is placed all the same. It covers the
+	// attempts that were placed before.
+	probeDelay = 1500 * time.Millisecond
+	// probeTimeout is the time after which another request becomes the probe if the last one has shown nothing.
+	probeTimeout = 5 * time.Second
 	// maxQuarantineTime bounds the quarantine of a fingerprint that is quarantined again and again.
 	maxQuarantineTime = 4 * time.Hour
 )
@@ -34,6 +39,9 @@
 	// From and Until are the beginning and the end of the last quarantine. Quarantines is the number of quarantines.
 	From, Until time.Time
 	Quarantines int
+	// Probe is the last request that was placed in spite of a quarantine, at ProbedAt.
+	Probe    RequestID
+	ProbedAt time.Time
 }
 
 // WithBrokenAttempt returns the count after one more broken attempt.
@@ -97,6 +105,21 @@
 	return b.Count >= QuarantineThreshold && !now.Before(b.From) && now.Before(b.Until)
 }
 
+// ProbeDue reports whether a request has to show whether the quarantine of this shared part is justified: there was none in this quarantine, or
+// the last one neither broke nor cleared the part.
+func (b BrokenAttempts) ProbeDue(now time.Time) bool {
+	if !b.Quarantined(now) || now.Sub(b.From) < probeDelay {
+		return false
+	}
+	return b.ProbedAt.Before(b.From) || now.Sub(b.ProbedAt) >= probeTimeout && b.At.Before(b.ProbedAt)
+}
+
+// WithProbe returns the count after a request became the probe.
+func (b BrokenAttempts) WithProbe(id RequestID, at time.Time) BrokenAttempts {
+	b.Probe, b.ProbedAt = id, at
+	return b
+}
+
 // Suspected reports whether broken requests with this shared part are not sent again.
 func (b BrokenAttempts) Suspected(now time.Time) bool {
 	return b.SharedPart && b.Count >= SuspectThreshold && now.Sub(b.FirstAt) >= ObservationTime
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -61,7 +61,7 @@
 
 // quarantined reports whether a request is refused because attempts with its fingerprint, or with a shared part of its prompt, have broken. A
 // part that is only suspected keeps a broken request from being sent again, also under a new id. A prompt is not refused if it lacks a part that
-// all broken ones had.
+// all broken ones had, or if it is the probe of the only part for which it would be.
 func quarantined(now time.Time, world *modeler.World, request modeler.Request) bool {
 	if world.BrokenAttempts.Len() == 0 {
 		return false
@@ -69,15 +69,29 @@
 	if brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint); brokenAttempts.Quarantined(now) {
 		return true
 	}
+	var blamed []modeler.Fingerprint
 	for _, part := range request.SharedParts {
 		brokenAttempts, _ := world.BrokenAttempts.Get(part)
 		repeats := request.RepeatsBroken || brokenAttempts.CountedFor(request.Fingerprint)
-		refused := brokenAttempts.Quarantined(now) || repeats && brokenAttempts.Suspected(now)
-		if refused && brokenAttempts.Blames(request.SharedParts) {
+		if repeats && brokenAttempts.Suspected(now) && brokenAttempts.Blames(request.SharedParts) {
 			return true
 		}
+		if brokenAttempts.Quarantined(now) && brokenAttempts.Blames(request.SharedParts) {
+			blamed = append(blamed, part)
+		}
 	}
-	return false
+	return len(blamed) > 1 || len(blamed) == 1 && !probes(now, world, request.ID, blamed[0])
+}
+
+// probes reports whether the request is the probe of a quarantined part, and makes it the probe if one is due. Only the coordinator probes, so that
+// there is one probe in the fleet.
+func probes(now time.Time, world *modeler.World, id modeler.RequestID, part modeler.Fingerprint) bool {
+	brokenAttempts, _ := world.BrokenAttempts.Get(part)
+	if world.Coordinates() && brokenAttempts.ProbeDue(now) {
+		brokenAttempts = brokenAttempts.WithProbe(id, now)
+		world.BrokenAttempts.Put(part, brokenAttempts)
+	}
+	return brokenAttempts.Probe == id
 }
 
 // decide returns a decision, or false if the request keeps waiting. reject must not apply to the request.
