Give the case of a low share time for the probe

Crashing requests come every 0.6 s there instead of every 0.8 s, and all cases last 0.5 s longer. No bound changes.

--- a/internal/fleet/assembler/crashing_part_test.go
+++ b/internal/fleet/assembler/crashing_part_test.go
@@ -25,7 +25,7 @@
 	// soundPhase is how long only sound requests are sent, and testTime how long requests are sent at all. Their difference covers the crashes,
 	// twice contactTime and 20 sound requests.
 	soundPhase = 1500 * time.Millisecond
-	testTime   = 11500 * time.Millisecond
+	testTime   = 12 * time.Second
 	// requestInterval is the time between two callers' requests.
 	requestInterval = 25 * time.Millisecond
 )
@@ -75,7 +75,7 @@
 	}{
 		{"part in the middle", "aa01:800,dd04:300,%d:100", 8, 1, "crashing %d", 0},
 		{"part first", "dd04:300,aa01:800,%d:100", 8, 1, "crashing %d", 0},
-		{"low share", "aa01:800,dd04:300,%d:100", 32, 1, "crashing %d", 0},
+		{"low share", "aa01:800,dd04:300,%d:100", 24, 1, "crashing %d", 0},
 		{"identical repeats", "aa01:800,dd04:300,%d:100", 16, 3, "crashing %d", 0},
 		{"without a body", "aa01:800,dd04:300,%d:100", 8, 1, "", 0},
 		{"no sound request with the first part meanwhile", "aa01:800,dd04:300,%d:100", 8, 1, "crashing %d", 1500 * time.Millisecond},
