--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -127,7 +127,7 @@
 	for _, s := range body.Suspects {
 		digest.Suspects = append(digest.Suspects, &Suspect{
 			Fingerprint: uint64(s.Fingerprint), Count: int32(s.Count), SharedPart: s.SharedPart, QuarantinedFor: s.QuarantinedFor.Microseconds(),
-			Companions: encodeFingerprints(s.Companions),
+			Companions: encodeFingerprints(s.Companions), Confirmed: s.Confirmed,
 		})
 	}
 	return digest
--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -111,7 +111,12 @@
 	if !b.Quarantined(now) || now.Sub(b.From) < probeDelay {
 		return false
 	}
-	return b.ProbedAt.Before(b.From) || now.Sub(b.ProbedAt) >= probeTimeout && b.At.Before(b.ProbedAt)
+	return b.ProbedAt.Before(b.From) || now.Sub(b.ProbedAt) >= probeTimeout && !b.confirmed()
+}
+
+// confirmed reports whether an attempt has broken since the probe of the last quarantine was placed.
+func (b BrokenAttempts) confirmed() bool {
+	return !b.ProbedAt.IsZero() && !b.ProbedAt.Before(b.From) && !b.At.Before(b.ProbedAt)
 }
 
 // WithProbe returns the count after a request became the probe.
@@ -131,13 +136,15 @@
 	Count       int
 	SharedPart  bool
 	Companions  []Fingerprint
+	// Confirmed is set if the probe of the quarantine broke.
+	Confirmed bool
 	// QuarantinedFor is the rest of the quarantine; zero if there is none.
 	QuarantinedFor time.Duration
 }
 
 // Suspect returns the digest's entry for the fingerprint, or false if other nodes need not know it.
 func (b BrokenAttempts) Suspect(fingerprint Fingerprint, now time.Time) (Suspect, bool) {
-	suspect := Suspect{Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions}
+	suspect := Suspect{Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions, Confirmed: b.confirmed()}
 	if b.Quarantined(now) {
 		suspect.QuarantinedFor = b.Until.Sub(now)
 	}
@@ -160,5 +167,8 @@
 		}
 		b.Until = until
 	}
+	if suspect.Confirmed && !b.confirmed() {
+		b.ProbedAt, b.At = now, now
+	}
 	return b
 }
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -271,3 +271,32 @@
 	brokenAttempts, _ := world.BrokenAttempts.Get(part)
 	assert.Assert(t, brokenAttempts.Quarantined(now))
 }
+
+// TestProbeIsKnown guards against one more crash with each new coordinator, because it does not know that the probe of a quarantine broke.
+func TestProbeIsKnown(t *testing.T) {
+	old := modeler.BrokenAttempts{}.WithBrokenAttempt(start).WithRequest(1, nil).WithQuarantine(start, start, time.Hour)
+	probed := old.WithProbe("r", start.Add(2*time.Second))
+	tests := []struct {
+		name string
+		row  modeler.BrokenAttempts
+		due  bool
+	}{
+		{"no probe yet", old, true},
+		{"the probe runs", probed, true},
+		{"the probe broke", probed.WithBrokenAttempt(start.Add(3 * time.Second)), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			at := start.Add(4 * time.Second)
+			suspect, ok := tt.row.Suspect(part, at)
+			assert.Assert(t, ok)
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			for i := range 3 {
+				digest := modeler.PeerReceived{Message: modeler.Message{From: "c", Body: modeler.Digest{Suspects: []modeler.Suspect{suspect}}}}
+				watcher.New().Run(&modeler.Tick{Now: at.Add(time.Duration(i) * time.Second), Events: []modeler.Event{digest}}, world)
+			}
+			received, _ := world.BrokenAttempts.Get(part)
+			assert.Equal(t, received.ProbeDue(at.Add(time.Minute)), tt.due)
+		})
+	}
+}
