Do not wake the control goroutine to clear shared parts

Each first event on the coordinator asked for another tick 0.3 s later while any broken attempt was in the table, which stays ten minutes after the last one. The next tick that comes anyway, 0.25 s later at most, clears the part as well.

--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -162,9 +162,6 @@
 		}
 	}
 	s.started = slices.Delete(s.started, 0, due)
-	if len(s.started) > 0 && world.BrokenAttempts.Len() > 0 {
-		tick.WakeAt(s.started[0].due)
-	}
 }
 
 // applySuspects merges the fingerprints of a digest. What the coordinator no longer lists was refuted by another node's attempt.
