Keep sound prompts of many parts out of a quarantine

Found by reading. Of a prompt with more than four shared parts only the first four became companions. If engines crash on a later one, a sound prompt with the first four was refused, and no probe could end it, since four of its parts were quarantined.

Change: all shared parts of a prompt are companions, at most the last eight of them in the digest. Parts with the same companions are probed together. The cases "the sixth of many" of TestCompanions and "two parts that always came together" of TestProbe failed before.

--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -13,8 +13,8 @@
 	// ObservationTime is the time after the first broken attempt with a shared part in which another attempt with the part, placed right after it,
 	// shows that endpoints survive it. Nothing is refused before.
 	ObservationTime = 600 * time.Millisecond
-	// maxCompanions bounds the companions of a shared part, which are in the digest.
-	maxCompanions = 4
+	// maxCompanions bounds the companions of a shared part in the digest.
+	maxCompanions = 8
 	// probeDelay is the time from the beginning of a shared part's quarantine to its probe: one request that is placed all the same. It covers the
 	// attempts that were placed before.
 	probeDelay = 1500 * time.Millisecond
@@ -71,7 +71,7 @@
 // withCompanions sets Companions for the first request, and removes those that are not in parts for later ones.
 func (b BrokenAttempts) withCompanions(parts []Fingerprint, first bool) BrokenAttempts {
 	if first {
-		b.Companions = parts[:min(len(parts), maxCompanions)]
+		b.Companions = parts
 		return b
 	}
 	b.Companions = slices.DeleteFunc(slices.Clone(b.Companions), func(part Fingerprint) bool { return !slices.Contains(parts, part) })
@@ -142,9 +142,13 @@
 	QuarantinedFor time.Duration
 }
 
-// Suspect returns the digest's entry for the fingerprint, or false if other nodes need not know it.
+// Suspect returns the digest's entry for the fingerprint, or false if other nodes need not know it. Of many companions it has the last ones, which
+// fewer prompts share.
 func (b BrokenAttempts) Suspect(fingerprint Fingerprint, now time.Time) (Suspect, bool) {
-	suspect := Suspect{Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions, Confirmed: b.confirmed()}
+	suspect := Suspect{
+		Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions[max(len(b.Companions)-maxCompanions, 0):],
+		Confirmed: b.confirmed(),
+	}
 	if b.Quarantined(now) {
 		suspect.QuarantinedFor = b.Until.Sub(now)
 	}
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/elector"
@@ -61,7 +62,7 @@
 
 // quarantined reports whether a request is refused because attempts with its fingerprint, or with a shared part of its prompt, have broken. A
 // part that is only suspected keeps a broken request from being sent again, also under a new id. A prompt is not refused if it lacks a part that
-// all broken ones had, or if it is the probe of the only part for which it would be.
+// all broken ones had, or if it is the probe of the parts for which it would be.
 func quarantined(now time.Time, world *modeler.World, request modeler.Request) bool {
 	if world.BrokenAttempts.Len() == 0 {
 		return false
@@ -80,18 +81,28 @@
 			blamed = append(blamed, part)
 		}
 	}
-	return len(blamed) > 1 || len(blamed) == 1 && !probes(now, world, request.ID, blamed[0])
+	return len(blamed) > 0 && !probes(now, world, request.ID, blamed)
 }
 
-// probes reports whether the request is the probe of a quarantined part, and makes it the probe if one is due. Only the coordinator probes, so that
-// there is one probe in the fleet.
-func probes(now time.Time, world *modeler.World, id modeler.RequestID, part modeler.Fingerprint) bool {
-	brokenAttempts, _ := world.BrokenAttempts.Get(part)
-	if world.Coordinates() && brokenAttempts.ProbeDue(now) {
-		brokenAttempts = brokenAttempts.WithProbe(id, now)
-		world.BrokenAttempts.Put(part, brokenAttempts)
+// probes reports whether the request is the probe of the quarantined parts, and makes it the probe if one is due. If the parts have different
+// companions, another request may tell them apart. Only the coordinator probes, so that there is one probe in the fleet.
+func probes(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
+	if !world.Coordinates() {
+		return false
+	}
+	first, _ := world.BrokenAttempts.Get(parts[0])
+	for _, part := range parts {
+		brokenAttempts, _ := world.BrokenAttempts.Get(part)
+		if !slices.Equal(brokenAttempts.Companions, first.Companions) || brokenAttempts.Probe != id && !brokenAttempts.ProbeDue(now) {
+			return false
+		}
+	}
+	for _, part := range parts {
+		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe != id {
+			world.BrokenAttempts.Put(part, brokenAttempts.WithProbe(id, now))
+		}
 	}
-	return brokenAttempts.Probe == id
+	return true
 }
 
 // decide returns a decision, or false if the request keeps waiting. reject must not apply to the request.
--- a/internal/fleet/placer/placer_test.go
+++ b/internal/fleet/placer/placer_test.go
@@ -227,6 +227,11 @@
 			w.BrokenAttempts.Put(8, suspected(3, start.Add(-9*time.Second), 8).WithQuarantine(start.Add(-9*time.Second), start.Add(-9*time.Second), time.Hour))
 			w.BrokenAttempts.Put(9, quarantine(start.Add(-9*time.Second)))
 		}, []modeler.Fingerprint{8, 9}, false},
+		{"two parts that always came together", func(w *modeler.World) {
+			for _, part := range []modeler.Fingerprint{8, 9} {
+				w.BrokenAttempts.Put(part, suspected(3, start.Add(-9*time.Second), 8, 9).WithQuarantine(start.Add(-9*time.Second), start.Add(-9*time.Second), time.Hour))
+			}
+		}, []modeler.Fingerprint{8, 9}, true},
 		{"this node does not coordinate", func(w *modeler.World) {
 			w.BrokenAttempts.Put(9, quarantine(start.Add(-9*time.Second)))
 			w.Coordinator = ""
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -126,6 +126,7 @@
 		{"only the second", []crash{{1, 2}, {1, 2}, {1, 2}}, []modeler.Fingerprint{2, 3}, false},
 		{"the second with another first one", []crash{{1, 2}, {3, 2}, {1, 2}}, []modeler.Fingerprint{4, 2}, true},
 		{"the second alone crashed later", []crash{{1, 2}, {1, 2}, {1, 2}, {3, 2}}, []modeler.Fingerprint{2, 4}, true},
+		{"the sixth of many", []crash{{1, 2, 3, 4, 5, 6}, {1, 2, 3, 4, 5, 6}, {1, 2, 3, 4, 5, 6}}, []modeler.Fingerprint{1, 2, 3, 4, 5}, false},
 		{"the first alone after that", []crash{{1, 2}, {1, 2}, {1, 2}, {3, 2}}, []modeler.Fingerprint{1, 4}, false},
 	}
 	for _, tt := range tests {
