Quarantine a shared part after four broken attempts of two requests

Change: repeats count too if they were placed after the last counted one, but only next to another request: four broken attempts of two requests quarantine the part, as three of three do. One request alone never does. The digest lists the requests that were counted, so that the next coordinator tells them apart. The case "two requests, both of them twice" of TestSharedPartQuarantine failed before; "the same request" now has four attempts of one request, where two had taken turns.

--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -108,19 +108,22 @@
 func TestDigestSuspects(t *testing.T) {
 	now := time.Unix(1000, 0)
 	part := modeler.BrokenAttempts{}.WithBrokenAttempt(now).WithRequest(1, nil)
+	suspected := part.WithBrokenAttempt(now).WithRequest(2, nil)
+	requests := []modeler.Fingerprint{1, 2}
 	tests := []struct {
 		name string
 		rows []modeler.BrokenAttempts
 		want []modeler.Suspect
 	}{
 		{"part that broke once", []modeler.BrokenAttempts{part}, nil},
-		{"part that broke twice", []modeler.BrokenAttempts{part.WithBrokenAttempt(now)}, []modeler.Suspect{{Fingerprint: 1, Count: 2, SharedPart: true}}},
+		{"part of two requests", []modeler.BrokenAttempts{suspected}, []modeler.Suspect{{Fingerprint: 1, Count: 2, SharedPart: true, Requests: requests}}},
+		{"part of one request that broke twice", []modeler.BrokenAttempts{part.WithBrokenAttempt(now)}, nil},
 		{"request that broke twice", []modeler.BrokenAttempts{{Count: 2}}, nil},
 		{
-			"quarantined request first", []modeler.BrokenAttempts{part.WithBrokenAttempt(now), modeler.BrokenAttempts{}.WithQuarantine(now, now, time.Minute)},
-			[]modeler.Suspect{{Fingerprint: 2, Count: 3, QuarantinedFor: time.Minute}, {Fingerprint: 1, Count: 2, SharedPart: true}},
+			"quarantined request first", []modeler.BrokenAttempts{suspected, modeler.BrokenAttempts{}.WithQuarantine(now, now, time.Minute)},
+			[]modeler.Suspect{{Fingerprint: 2, QuarantinedFor: time.Minute}, {Fingerprint: 1, Count: 2, SharedPart: true, Requests: requests}},
 		},
-		{"many parts", slices.Repeat([]modeler.BrokenAttempts{part.WithBrokenAttempt(now)}, 100), manySuspects(16)},
+		{"many parts", slices.Repeat([]modeler.BrokenAttempts{suspected}, 100), manySuspects(16)},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -148,7 +151,7 @@
 func manySuspects(count int) []modeler.Suspect {
 	suspects := make([]modeler.Suspect, 0, count)
 	for i := range count {
-		suspects = append(suspects, modeler.Suspect{Fingerprint: modeler.Fingerprint(i + 1), Count: 2, SharedPart: true})
+		suspects = append(suspects, modeler.Suspect{Fingerprint: modeler.Fingerprint(i + 1), Count: 2, SharedPart: true, Requests: []modeler.Fingerprint{1, 2}})
 	}
 	return suspects
 }
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -148,7 +148,7 @@
 	for _, s := range d.GetSuspects() {
 		digest.Suspects = append(digest.Suspects, modeler.Suspect{
 			Fingerprint: modeler.Fingerprint(s.GetFingerprint()), Count: int(s.GetCount()), SharedPart: s.GetSharedPart(),
-			Companions: decodeFingerprints(s.GetCompanions()), Confirmed: s.GetConfirmed(), QuarantinedFor: microseconds(s.GetQuarantinedFor()),
+			Companions: decodeFingerprints(s.GetCompanions()), Confirmed: s.GetConfirmed(), Requests: decodeFingerprints(s.GetRequests()), QuarantinedFor: microseconds(s.GetQuarantinedFor()),
 		})
 	}
 	return digest
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -128,6 +128,7 @@
 		digest.Suspects = append(digest.Suspects, &Suspect{
 			Fingerprint: uint64(s.Fingerprint), Count: int32(s.Count), SharedPart: s.SharedPart, QuarantinedFor: s.QuarantinedFor.Microseconds(),
 			Companions: encodeFingerprints(s.Companions), Confirmed: s.Confirmed,
+			Requests: encodeFingerprints(s.Requests),
 		})
 	}
 	return digest
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -66,7 +66,7 @@
 		}},
 		{"digest", modeler.Digest{
 			Alive: []modeler.Node{node()}, AliveRanks: []int64{0, 1 << 40}, Suspects: []modeler.Suspect{
-				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Confirmed: true}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}},
+				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Confirmed: true}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}, Requests: []modeler.Fingerprint{6, 7}},
 			},
 			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
 		}},
--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -6,15 +6,19 @@
 )
 
 const (
-	// QuarantineThreshold is the number of broken attempts after which requests with the same fingerprint are refused.
-	QuarantineThreshold = 3
-	// SuspectThreshold is the number of broken attempts after which a broken request with the same shared part is not sent again.
-	SuspectThreshold = 2
+	// quarantineThreshold is the number of broken attempts of a request, or of different requests with a shared part, after which requests with
+	// the same fingerprint are refused.
+	quarantineThreshold = 3
+	// suspectThreshold is the number of different requests after which a broken request with the same shared part is not sent again.
+	suspectThreshold = 2
+	// repeatThreshold is the number of broken attempts after which requests with a shared part are refused if only suspectThreshold different
+	// ones were among them.
+	repeatThreshold = 4
 	// ObservationTime is the time after the first broken attempt with a shared part in which another attempt with the part, placed right after it,
 	// shows that endpoints survive it. Nothing is refused before.
 	ObservationTime = 600 * time.Millisecond
 	// maxCompanions bounds the companions of a shared part in the digest.
-	maxCompanions = 8
+	maxCompanions = 4
 	// probeDelay is the time from the beginning of a shared part's quarantine to its probe: one request that is placed all the same. It covers the
 	// attempts that were placed before.
 	probeDelay = 1500 * time.Millisecond
@@ -34,7 +38,8 @@
 	// Companions holds the shared parts, this one among them, that all requests had which were counted for it. Any of them may be the cause. It
 	// must not be modified.
 	Companions []Fingerprint
-	// Requests holds the fingerprints of the first QuarantineThreshold requests that were counted for a shared part. It must not be modified.
+	// Requests holds the fingerprints of the first quarantineThreshold different requests that were counted for a shared part. It must not be
+	// modified.
 	Requests []Fingerprint
 	// From and Until are the beginning and the end of the last quarantine. Quarantines is the number of quarantines.
 	From, Until time.Time
@@ -57,7 +62,7 @@
 func (b BrokenAttempts) WithRequest(request Fingerprint, parts []Fingerprint) BrokenAttempts {
 	b = b.withCompanions(parts, !b.SharedPart)
 	b.SharedPart = true
-	if len(b.Requests) < QuarantineThreshold && !slices.Contains(b.Requests, request) {
+	if len(b.Requests) < quarantineThreshold && !slices.Contains(b.Requests, request) {
 		b.Requests = append(slices.Clip(b.Requests), request)
 	}
 	return b
@@ -84,10 +89,17 @@
 	return !slices.ContainsFunc(b.Companions, func(part Fingerprint) bool { return !slices.Contains(parts, part) })
 }
 
+// ReachesQuarantine reports whether a broken attempt that was just counted causes or prolongs a quarantine.
+func (b BrokenAttempts) ReachesQuarantine() bool {
+	if !b.SharedPart {
+		return b.Count >= quarantineThreshold
+	}
+	return b.Quarantines > 0 || len(b.Requests) >= quarantineThreshold || len(b.Requests) >= suspectThreshold && b.Count >= repeatThreshold
+}
+
 // WithQuarantine returns the count after a broken attempt at the time at that causes or prolongs a quarantine. The first quarantine lasts for
 // the given time; each further one lasts twice as long as the one before.
 func (b BrokenAttempts) WithQuarantine(from, at time.Time, first time.Duration) BrokenAttempts {
-	b.Count = max(b.Count, QuarantineThreshold)
 	if !at.Before(b.Until) {
 		b.From = from
 		b.Quarantines++
@@ -102,7 +114,7 @@
 
 // Quarantined reports whether requests with this fingerprint are refused.
 func (b BrokenAttempts) Quarantined(now time.Time) bool {
-	return b.Count >= QuarantineThreshold && !now.Before(b.From) && now.Before(b.Until)
+	return !now.Before(b.From) && now.Before(b.Until)
 }
 
 // ProbeDue reports whether a request has to show whether the quarantine of this shared part is justified: there was none in this quarantine, or
@@ -127,7 +139,7 @@
 
 // Suspected reports whether broken requests with this shared part are not sent again.
 func (b BrokenAttempts) Suspected(now time.Time) bool {
-	return b.SharedPart && b.Count >= SuspectThreshold && now.Sub(b.FirstAt) >= ObservationTime
+	return len(b.Requests) >= suspectThreshold && now.Sub(b.FirstAt) >= ObservationTime
 }
 
 // Suspect is a fingerprint in a digest.
@@ -135,7 +147,8 @@
 	Fingerprint Fingerprint
 	Count       int
 	SharedPart  bool
-	Companions  []Fingerprint
+	// Companions and Requests are those of BrokenAttempts. They must not be modified.
+	Companions, Requests []Fingerprint
 	// Confirmed is set if the probe of the quarantine broke.
 	Confirmed bool
 	// QuarantinedFor is the rest of the quarantine; zero if there is none.
@@ -147,12 +160,12 @@
 func (b BrokenAttempts) Suspect(fingerprint Fingerprint, now time.Time) (Suspect, bool) {
 	suspect := Suspect{
 		Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions[max(len(b.Companions)-maxCompanions, 0):],
-		Confirmed: b.confirmed(),
+		Requests: b.Requests, Confirmed: b.confirmed(),
 	}
 	if b.Quarantined(now) {
 		suspect.QuarantinedFor = b.Until.Sub(now)
 	}
-	return suspect, suspect.QuarantinedFor > 0 || b.SharedPart && b.Count >= SuspectThreshold
+	return suspect, suspect.QuarantinedFor > 0 || len(b.Requests) >= suspectThreshold
 }
 
 // WithSuspect returns the count after another node reported the fingerprint: the higher count and the later end of the quarantine.
@@ -164,6 +177,9 @@
 		}
 		b.Count, b.At = suspect.Count, now
 	}
+	if len(b.Requests) < len(suspect.Requests) {
+		b.Requests = suspect.Requests
+	}
 	b.SharedPart = b.SharedPart || suspect.SharedPart
 	if until := now.Add(suspect.QuarantinedFor); suspect.QuarantinedFor > 0 && until.After(b.Until) {
 		if !b.Quarantined(now) {
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -48,16 +48,15 @@
 func (requestPolicy) observation() time.Duration    { return 0 }
 func (requestPolicy) quarantineTime() time.Duration { return requestQuarantineTime }
 
-// partPolicy counts, for a shared part of prompts, broken attempts of different requests that were placed one after the other. If many
-// attempts break at one moment, as when a data centre fails, only one counts.
+// partPolicy counts, for a shared part of prompts, broken attempts that were placed one after the other. If many attempts break at one moment,
+// as when a data centre fails, only one counts.
 type partPolicy struct{}
 
 func (partPolicy) with(b modeler.BrokenAttempts, e modeler.Ended, placed, now time.Time) (modeler.BrokenAttempts, bool) {
-	request := requestFingerprint(e)
-	if b.Count > 0 && placed.Before(b.At) || b.Count < modeler.QuarantineThreshold && slices.Contains(b.Requests, request) {
+	if b.Count > 0 && placed.Before(b.At) {
 		return b, false
 	}
-	return b.WithBrokenAttempt(now).WithRequest(request, e.SharedParts), true
+	return b.WithBrokenAttempt(now).WithRequest(requestFingerprint(e), e.SharedParts), true
 }
 
 func (partPolicy) observation() time.Duration    { return modeler.ObservationTime }
@@ -79,7 +78,7 @@
 	if !counts {
 		return
 	}
-	if after.Count >= modeler.QuarantineThreshold {
+	if after.ReachesQuarantine() {
 		from := after.FirstAt.Add(policy.observation())
 		if from.Before(tick.Now) {
 			from = tick.Now
@@ -129,7 +128,7 @@
 		return
 	}
 	world.BrokenAttempts.Delete(part)
-	if brokenAttempts.Count >= modeler.QuarantineThreshold {
+	if brokenAttempts.Quarantines > 0 {
 		logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventQuarantineLifted, Request: id, Fields: []modeler.LogField{
 			{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{part})}, {Key: "Count", Value: brokenAttempts.Count},
 			{Key: "Since", Value: tick.Now.Sub(brokenAttempts.FirstAt)},
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -56,7 +56,9 @@
 		{"two requests", []report{broken(0, 1), broken(300*ms, 2)}, time.Second, false},
 		{"too early for others to survive", []report{broken(0, 1), broken(200*ms, 2), broken(400*ms, 3)}, 500 * ms, false},
 		{"later the same", []report{broken(0, 1), broken(200*ms, 2), broken(400*ms, 3)}, 600 * ms, true},
-		{"the same request", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 2), broken(1100*ms, 1)}, 2 * time.Second, false},
+		{"the same request", []report{broken(0, 1), broken(300*ms, 1), broken(700*ms, 1), broken(1100*ms, 1)}, 2 * time.Second, false},
+		{"two requests, one of them twice", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 2)}, 2 * time.Second, false},
+		{"two requests, both of them twice", []report{broken(0, 1), broken(300*ms, 1), broken(700*ms, 2), broken(1100*ms, 2)}, 2 * time.Second, true},
 		{"without a body", []report{noBody(0, "a/0/i"), noBody(300*ms, "b/0/i"), noBody(700*ms, "c/0/i")}, time.Second, true},
 		{"the same without a body", []report{noBody(0, "a/0/i"), noBody(300*ms, "a/1/i"), noBody(700*ms, "a/2/i")}, time.Second, false},
 		{"all at one moment", []report{broken(0, 1), broken(ms, 2), broken(2*ms, 3), broken(3*ms, 4)}, time.Second, false},
@@ -220,8 +222,8 @@
 
 // TestSuspects guards against a quarantine that ends with the coordinator, and against one that stays on other nodes after it was lifted.
 func TestSuspects(t *testing.T) {
-	quarantined := modeler.BrokenAttempts{}.WithBrokenAttempt(start).WithRequest(1, nil).WithQuarantine(start, start, time.Hour)
-	listed := []modeler.Suspect{{Fingerprint: part, Count: 3, SharedPart: true, Companions: []modeler.Fingerprint{part, 5}, QuarantinedFor: time.Minute}}
+	quarantined := modeler.BrokenAttempts{}.WithBrokenAttempt(start).WithRequest(1, nil).WithRequest(2, nil).WithRequest(3, nil).WithQuarantine(start, start, time.Hour)
+	listed := []modeler.Suspect{{Fingerprint: part, Count: 3, Requests: []modeler.Fingerprint{1, 2, 3}, SharedPart: true, Companions: []modeler.Fingerprint{part, 5}, QuarantinedFor: time.Minute}}
 	tests := []struct {
 		name        string
 		coordinator modeler.NodeID
