Let repeats not delay the quarantine of a shared part

A repeat is counted without moving it now. The case "three requests, placed while the first was repeated" failed before.

--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -31,7 +31,8 @@
 // BrokenAttempts counts, for the fingerprint of a request or of a shared part of prompts, the attempts that ended in a broken connection.
 type BrokenAttempts struct {
 	Count int
-	// FirstAt and At are the times of the first and the last counted attempt.
+	// FirstAt and At are the times of the first and the last counted attempt. Repeats of a request that was counted for a shared part do not
+	// change At.
 	FirstAt, At time.Time
 	// SharedPart is set for the fingerprint of a shared part.
 	SharedPart bool
@@ -58,6 +59,12 @@
 	return b
 }
 
+// WithRepeat returns the count of a shared part after a broken repeat of a request that was counted.
+func (b BrokenAttempts) WithRepeat() BrokenAttempts {
+	b.Count++
+	return b
+}
+
 // WithRequest returns the count of a shared part with a request that it was counted for and the shared parts of its prompt.
 func (b BrokenAttempts) WithRequest(request Fingerprint, parts []Fingerprint) BrokenAttempts {
 	b = b.withCompanions(parts, !b.SharedPart)
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -56,7 +56,12 @@
 	if b.Count > 0 && placed.Before(b.At) {
 		return b, false
 	}
-	return b.WithBrokenAttempt(now).WithRequest(requestFingerprint(e), e.SharedParts), true
+	request := requestFingerprint(e)
+	if b.Quarantines == 0 && slices.Contains(b.Requests, request) {
+		// The next request is compared with the last different one: it may have been placed while this one was repeated.
+		return b.WithRepeat(), true
+	}
+	return b.WithBrokenAttempt(now).WithRequest(request, e.SharedParts), true
 }
 
 func (partPolicy) observation() time.Duration    { return modeler.ObservationTime }
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -59,6 +59,10 @@
 		{"the same request", []report{broken(0, 1), broken(300*ms, 1), broken(700*ms, 1), broken(1100*ms, 1)}, 2 * time.Second, false},
 		{"two requests, one of them twice", []report{broken(0, 1), broken(300*ms, 2), broken(700*ms, 2)}, 2 * time.Second, false},
 		{"two requests, both of them twice", []report{broken(0, 1), broken(300*ms, 1), broken(700*ms, 2), broken(1100*ms, 2)}, 2 * time.Second, true},
+		{"three requests, placed while the first was repeated", []report{
+			broken(0, 1), broken(300*ms, 1), {at: 400 * ms, placed: 50 * ms, fingerprint: 2, outcome: modeler.Broken},
+			{at: 700 * ms, placed: 450 * ms, fingerprint: 3, outcome: modeler.Broken},
+		}, time.Second, true},
 		{"without a body", []report{noBody(0, "a/0/i"), noBody(300*ms, "b/0/i"), noBody(700*ms, "c/0/i")}, time.Second, true},
 		{"the same without a body", []report{noBody(0, "a/0/i"), noBody(300*ms, "a/1/i"), noBody(700*ms, "a/2/i")}, time.Second, false},
 		{"all at one moment", []report{broken(0, 1), broken(ms, 2), broken(2*ms, 3), broken(3*ms, 4)}, time.Second, false},
