--- a/internal/fleet/assembler/crashing_part_test.go
+++ b/internal/fleet/assembler/crashing_part_test.go
@@ -22,10 +22,11 @@
 	// crashingPart crashes the engines. popularPart is the first part of most prompts.
 	crashingPart = "dd04"
 	popularPart  = "aa01"
-	// soundPhase is how long only sound requests are sent, and testTime how long requests are sent at all. Their difference covers the crashes,
-	// twice contactTime and 20 sound requests.
-	soundPhase = 1500 * time.Millisecond
-	testTime   = 12 * time.Second
+	// soundPhase is how long only sound requests are sent. Requests are sent until judgedTime after the fifth crash, or the last one if there are
+	// fewer: twice contactTime, and the time of 20 sound requests with popularPart. maxTestTime bounds that.
+	soundPhase  = 1500 * time.Millisecond
+	judgedTime  = 2*contactTime + 1200*time.Millisecond
+	maxTestTime = 20 * time.Second
 	// requestInterval is the time between two callers' requests.
 	requestInterval = 25 * time.Millisecond
 )
@@ -106,7 +107,7 @@
 			begin, number, crashing := time.Now(), 0, 0
 			ticker := time.NewTicker(requestInterval)
 			defer ticker.Stop()
-			for now := begin; now.Sub(begin) < testTime; now = <-ticker.C {
+			for now := begin; sending(now, begin, engines); now = <-ticker.C {
 				number++
 				sent := now.Sub(begin)
 				if sent < soundPhase || number%tt.every > 0 {
@@ -153,23 +154,43 @@
 	return engines
 }
 
+// sending reports whether more requests are sent.
+func sending(now, begin time.Time, engines []*platformtest.Endpoint) bool {
+	if now.Sub(begin) >= maxTestTime {
+		return false
+	}
+	crashes := crashTimes(engines)
+	return len(crashes) == 0 || now.Sub(fifthOrLast(crashes)) < judgedTime
+}
+
+// crashTimes returns the times of all crashes in order.
+func crashTimes(engines []*platformtest.Endpoint) []time.Time {
+	var crashes []time.Time
+	for _, engine := range engines {
+		crashes = append(crashes, engine.Crashes()...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	return crashes
+}
+
+func fifthOrLast(crashes []time.Time) time.Time { return crashes[min(len(crashes), 5)-1] }
+
 // checkCrashingPart judges the two rules. BUDGET: of the requests with the crashing part, no more than three reach engines later than contactTime
 // after the fifth crash. LOST: from twice contactTime after the fifth crash, or the last one if there are fewer, the answers to sound requests
 // of the same caller, and of those with the same first part, begin at least half as often as before the crashes.
 func checkCrashingPart(t *testing.T, engines []*platformtest.Endpoint, done []partCall, begin time.Time) {
 	t.Helper()
-	var crashes, reached []time.Time
+	crashes := crashTimes(engines)
+	var reached []time.Time
 	for _, engine := range engines {
-		crashes = append(crashes, engine.Crashes()...)
 		for _, run := range engine.Runs() {
 			if platformtest.HasSharedPart(run.Prefix, crashingPart) {
 				reached = append(reached, run.StartedAt)
 			}
 		}
 	}
-	slices.SortFunc(crashes, time.Time.Compare)
 	assert.Assert(t, len(crashes) > 0, "no engine crashed")
-	fifth := crashes[min(len(crashes), 5)-1]
+	fifth := fifthOrLast(crashes)
 	late := 0
 	for _, at := range reached {
 		if at.Sub(fifth) > contactTime {
