Keep quarantines when a coordinator that knows none takes over

Cause: a missing entry was read as refuted, whoever sent the digest.

Change: a node removes a fingerprint only if the same process of the coordinator listed it before.

Evidence: two new cases of TestSuspects fail on the code before (a new coordinator does not know it, the coordinator has restarted); TestSuspectsForCoordinator and TestNewCoordinatorIsTold cover the other half.

The cases of the test "known" became digests in sequence, with the same results asserted.

--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -155,3 +155,41 @@
 	}
 	return suspects
 }
+
+// TestNewCoordinatorIsTold guards against a coordinator that has just started and places requests which the one before refused.
+func TestNewCoordinatorIsTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	beat := func(incarnation uint64) modeler.Event {
+		node := modeler.Node{ID: "c", Incarnation: incarnation, Rank: 1}
+		return modeler.PeerReceived{Message: modeler.Message{From: "c", Incarnation: incarnation, Body: modeler.Beat{Node: node, Coordinates: true}}}
+	}
+	tests := []struct {
+		name string
+		// later is the time between the election and the heartbeat that is looked at.
+		later  time.Duration
+		events []modeler.Event
+		want   int
+	}{
+		{"just elected", 0, nil, 1},
+		{"elected for some time", 3 * time.Second, []modeler.Event{beat(1)}, 0},
+		{"restarted", 3 * time.Second, []modeler.Event{beat(2)}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "self", Rank: 2})
+			world.BrokenAttempts.Put(1, modeler.BrokenAttempts{}.WithBrokenAttempt(now).WithRequest(1, nil).WithRequest(2, nil))
+			system := elector.New(nil)
+			var got int
+			for _, tick := range []*modeler.Tick{{Now: now, Events: []modeler.Event{beat(1)}}, {Now: now.Add(tt.later), Events: tt.events}} {
+				system.Run(tick, world)
+				for _, effect := range tick.Effects() {
+					if send, ok := effect.(modeler.Send); ok {
+						got = len(send.Message.Body.(modeler.Beat).Suspects)
+					}
+				}
+			}
+			assert.Equal(t, world.Coordinator, modeler.NodeID("c"))
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -28,6 +28,9 @@
 	// digestEvery is the number of the coordinator's heartbeats per digest: two digests fit into nodeTimeout. The coordinator also sends one
 	// with every hello.
 	digestEvery = 4
+	// handoverTime is how long nodes tell a new coordinator the fingerprints that the one before listed: several heartbeats. It may have just
+	// started and know none.
+	handoverTime = 2 * time.Second
 	// silentNodeTimeout is the time without messages from a node after which only hellos are sent to it. A node that comes back sends hellos
 	// itself.
 	silentNodeTimeout = 20 * time.Second
@@ -97,6 +100,9 @@
 	case modeler.Beat:
 		if mergeNode(world, body.Node) {
 			s.nextHello = tick.Now
+			if message.From == world.Coordinator {
+				world.CoordinatorSince = tick.Now
+			}
 		}
 		known, ok := world.Nodes.Get(message.From)
 		if !ok || known.Incarnation != message.Incarnation {
@@ -232,7 +238,7 @@
 		return
 	}
 	hello := !tick.Now.Before(s.nextHello)
-	message := s.beatMessage(world)
+	message := s.beatMessage(tick.Now, world)
 	var digest *modeler.Digest
 	if world.Coordinates() {
 		if s.beats++; s.beats%digestEvery == 0 || hello {
@@ -291,9 +297,12 @@
 	return b
 }
 
-// beatMessage returns a heartbeat with the requests of this node that are running.
-func (s *System) beatMessage(world *modeler.World) modeler.Message {
+// beatMessage returns a heartbeat with the requests of this node that are running, and with the suspects for a new coordinator.
+func (s *System) beatMessage(now time.Time, world *modeler.World) modeler.Message {
 	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll}
+	if now.Sub(world.CoordinatorSince) < handoverTime {
+		body.Suspects = suspects(now, world)
+	}
 	for _, id := range world.ByNode.Keys(world.Self.ID) {
 		if a, ok := world.Assignments.Get(id); ok {
 			// Shared parts are left out, because they would make each heartbeat longer.
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -95,7 +95,7 @@
 }
 
 func decodeBeat(now time.Time, b *Beat) modeler.Beat {
-	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), ReadsForAll: b.GetReadsForAll()}
+	beat := modeler.Beat{Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), ReadsForAll: b.GetReadsForAll(), Suspects: decodeSuspects(b.GetSuspects())}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.ReadPositions) {
 			beat.ReadPositions[i] = modeler.ReadPosition{End: k.GetEnd(), LastChangeEnd: k.GetMaterial(), Age: microseconds(k.GetAge())}
@@ -145,11 +145,21 @@
 			Running: int(l.GetRunning()), Memory: modeler.Tokens(l.GetMemory()), Backlog: microseconds(l.GetBacklog()), Gap: microseconds(l.GetGap()),
 		}
 	}
-	for _, s := range d.GetSuspects() {
-		digest.Suspects = append(digest.Suspects, modeler.Suspect{
+	digest.Suspects = decodeSuspects(d.GetSuspects())
+	return digest
+}
+
+func decodeSuspects(list []*Suspect) []modeler.Suspect {
+	if len(list) == 0 {
+		return nil
+	}
+	decoded := make([]modeler.Suspect, 0, len(list))
+	for _, s := range list {
+		decoded = append(decoded, modeler.Suspect{
 			Fingerprint: modeler.Fingerprint(s.GetFingerprint()), Count: int(s.GetCount()), SharedPart: s.GetSharedPart(),
-			Companions: decodeFingerprints(s.GetCompanions()), Confirmed: s.GetConfirmed(), Requests: decodeFingerprints(s.GetRequests()), QuarantinedFor: microseconds(s.GetQuarantinedFor()),
+			Companions: decodeFingerprints(s.GetCompanions()), Confirmed: s.GetConfirmed(), Requests: decodeFingerprints(s.GetRequests()),
+			QuarantinedFor: microseconds(s.GetQuarantinedFor()),
 		})
 	}
-	return digest
+	return decoded
 }
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -81,7 +81,7 @@
 }
 
 func encodeBeat(now time.Time, body modeler.Beat) *Beat {
-	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates, ReadsForAll: body.ReadsForAll}
+	beat := &Beat{Node: encodeNode(body.Node), Coordinates: body.Coordinates, ReadsForAll: body.ReadsForAll, Suspects: encodeSuspects(body.Suspects)}
 	for _, k := range body.ReadPositions {
 		beat.Known = append(beat.Known, &Known{End: k.End, Material: k.LastChangeEnd, Age: k.Age.Microseconds()})
 	}
@@ -124,12 +124,17 @@
 			Endpoint: string(id), Running: int32(l.Running), Memory: int64(l.Memory), Backlog: l.Backlog.Microseconds(), Gap: l.Gap.Microseconds(),
 		})
 	}
-	for _, s := range body.Suspects {
-		digest.Suspects = append(digest.Suspects, &Suspect{
+	digest.Suspects = encodeSuspects(body.Suspects)
+	return digest
+}
+
+func encodeSuspects(list []modeler.Suspect) []*Suspect {
+	encoded := make([]*Suspect, 0, len(list))
+	for _, s := range list {
+		encoded = append(encoded, &Suspect{
 			Fingerprint: uint64(s.Fingerprint), Count: int32(s.Count), SharedPart: s.SharedPart, QuarantinedFor: s.QuarantinedFor.Microseconds(),
-			Companions: encodeFingerprints(s.Companions), Confirmed: s.Confirmed,
-			Requests: encodeFingerprints(s.Requests),
+			Companions: encodeFingerprints(s.Companions), Confirmed: s.Confirmed, Requests: encodeFingerprints(s.Requests),
 		})
 	}
-	return digest
+	return encoded
 }
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -52,7 +52,7 @@
 		}},
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithFirstEvent(now)}, ReadPositions: [2]modeler.ReadPosition{{End: 4, LastChangeEnd: 3, Age: time.Second}, {End: 9}},
-			ReadsForAll: true,
+			ReadsForAll: true, Suspects: []modeler.Suspect{{Fingerprint: 3, Count: 2, SharedPart: true, Requests: []modeler.Fingerprint{1, 2}}},
 		}},
 		{"endpoint changes", modeler.EndpointChanges{From: 3, Next: 9, Changes: []modeler.EndpointChange{
 			{
--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -45,6 +45,9 @@
 	// From and Until are the beginning and the end of the last quarantine. Quarantines is the number of quarantines.
 	From, Until time.Time
 	Quarantines int
+	// ListedBy is the incarnation of the coordinator whose digest listed the fingerprint last. Only the digest of the same process may remove it:
+	// another coordinator may not know it.
+	ListedBy uint64
 	// Probe is the last request that was placed in spite of a quarantine, at ProbedAt.
 	Probe    RequestID
 	ProbedAt time.Time
@@ -144,6 +147,12 @@
 	return b
 }
 
+// WithListedBy returns the count after the digest of a coordinator with the given incarnation listed the fingerprint.
+func (b BrokenAttempts) WithListedBy(incarnation uint64) BrokenAttempts {
+	b.ListedBy = incarnation
+	return b
+}
+
 // Suspected reports whether broken requests with this shared part are not sent again.
 func (b BrokenAttempts) Suspected(now time.Time) bool {
 	return len(b.Requests) >= suspectThreshold && now.Sub(b.FirstAt) >= ObservationTime
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -49,6 +49,8 @@
 		ReadPositions [2]ReadPosition
 		// ReadsForAll is set if the sender reads the store itself and distributes the changes to all nodes.
 		ReadsForAll bool
+		// Suspects holds the fingerprints that the sender knows, while the coordinator is new.
+		Suspects []Suspect
 	}
 	// OperatorState distributes the operators' records: the newest record of each key before Next. Age is the time since the sender last
 	// confirmed that there were no later records.
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -16,7 +16,7 @@
 	AddressUntil, StopAt time.Time
 	// Coordinator is the node that coordinates placement. It is empty until the first election.
 	Coordinator NodeID
-	// CoordinatorSince is when Coordinator last changed.
+	// CoordinatorSince is when Coordinator last changed or its process was replaced.
 	CoordinatorSince time.Time
 	// CoordinatorUnresponsive is set when the coordinator did not respond to an Ask in time. This node then places requests itself until it
 	// receives a message from the coordinator again.
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -168,27 +168,36 @@
 	s.started = slices.Delete(s.started, 0, due)
 }
 
-// applySuspects merges the fingerprints of a digest. What the coordinator no longer lists was refuted by another node's attempt.
-func applySuspects(now time.Time, world *modeler.World, from modeler.NodeID, suspects []modeler.Suspect) {
+// applyDigest merges the fingerprints that a digest lists. What its sender no longer lists was refuted by another node's attempt.
+func applyDigest(now time.Time, world *modeler.World, message modeler.Message, suspects []modeler.Suspect) {
 	if world.Coordinates() {
 		return
 	}
+	mergeSuspects(now, world, suspects)
 	listed := make(map[modeler.Fingerprint]bool, len(suspects))
 	for _, suspect := range suspects {
 		listed[suspect.Fingerprint] = true
-		before, _ := world.BrokenAttempts.Get(suspect.Fingerprint)
-		world.BrokenAttempts.Put(suspect.Fingerprint, before.WithSuspect(suspect, now))
+		brokenAttempts, _ := world.BrokenAttempts.Get(suspect.Fingerprint)
+		world.BrokenAttempts.Put(suspect.Fingerprint, brokenAttempts.WithListedBy(message.Incarnation))
 	}
-	if from != world.Coordinator || len(suspects) >= elector.MaxSuspects {
+	if message.From != world.Coordinator || len(suspects) >= elector.MaxSuspects {
 		return
 	}
 	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
-		if _, suspected := brokenAttempts.Suspect(fingerprint, now); suspected && !listed[fingerprint] && now.Sub(brokenAttempts.At) > digestDelay {
+		if brokenAttempts.ListedBy == message.Incarnation && !listed[fingerprint] && now.Sub(brokenAttempts.At) > digestDelay {
 			world.BrokenAttempts.Delete(fingerprint)
 		}
 	}
 }
 
+// mergeSuspects adds the fingerprints that another node knows.
+func mergeSuspects(now time.Time, world *modeler.World, suspects []modeler.Suspect) {
+	for _, suspect := range suspects {
+		before, _ := world.BrokenAttempts.Get(suspect.Fingerprint)
+		world.BrokenAttempts.Put(suspect.Fingerprint, before.WithSuspect(suspect, now))
+	}
+}
+
 // evictBrokenAttempts removes a quarter of the table: first the fingerprints that never were quarantined, the oldest first.
 func evictBrokenAttempts(world *modeler.World) {
 	type entry struct {
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -226,44 +226,69 @@
 
 // TestSuspects guards against a quarantine that ends with the coordinator, and against one that stays on other nodes after it was lifted.
 func TestSuspects(t *testing.T) {
-	quarantined := modeler.BrokenAttempts{}.WithBrokenAttempt(start).WithRequest(1, nil).WithRequest(2, nil).WithRequest(3, nil).WithQuarantine(start, start, time.Hour)
-	listed := []modeler.Suspect{{Fingerprint: part, Count: 3, Requests: []modeler.Fingerprint{1, 2, 3}, SharedPart: true, Companions: []modeler.Fingerprint{part, 5}, QuarantinedFor: time.Minute}}
+	listed := []modeler.Suspect{{Fingerprint: part, Count: 3, Requests: []modeler.Fingerprint{1, 2, 3}, SharedPart: true, Companions: []modeler.Fingerprint{part, 5}, QuarantinedFor: time.Hour}}
+	until := []modeler.Suspect{listed[0]}
+	until[0].QuarantinedFor = time.Minute
+	type digest struct {
+		from        modeler.NodeID
+		incarnation uint64
+		suspects    []modeler.Suspect
+		at          time.Duration
+	}
 	tests := []struct {
 		name        string
 		coordinator modeler.NodeID
-		from        modeler.NodeID
-		known       bool
-		suspects    []modeler.Suspect
+		digests     []digest
 		at          time.Duration
 		want        bool
 	}{
-		{"learned", "c", "c", false, listed, 0, true},
-		{"learned from the coordinator before", "d", "c", false, listed, 0, true},
-		{"until its end", "c", "c", false, listed, time.Minute, false},
-		{"lifted by the coordinator", "c", "c", true, nil, 3 * time.Second, false},
-		{"the coordinator may not know it yet", "c", "c", true, nil, time.Second, true},
-		{"another node does not list it", "d", "c", true, nil, 3 * time.Second, true},
-		{"this node coordinates", "n", "c", false, listed, 0, false},
+		{"learned", "c", []digest{{"c", 1, listed, 0}}, 0, true},
+		{"learned from the coordinator before", "d", []digest{{"c", 1, listed, 0}}, 0, true},
+		{"until its end", "c", []digest{{"c", 1, until, 0}}, time.Minute, false},
+		{"lifted by the coordinator", "c", []digest{{"c", 1, listed, 0}, {"c", 1, nil, 3 * time.Second}}, 3 * time.Second, false},
+		{"the coordinator may not know it yet", "c", []digest{{"c", 1, listed, 0}, {"c", 1, nil, time.Second}}, time.Second, true},
+		{"another node does not list it", "d", []digest{{"c", 1, listed, 0}, {"c", 1, nil, 3 * time.Second}}, 3 * time.Second, true},
+		{"a new coordinator does not know it", "d", []digest{{"c", 1, listed, 0}, {"d", 2, nil, 3 * time.Second}}, 3 * time.Second, true},
+		{"the coordinator has restarted", "c", []digest{{"c", 1, listed, 0}, {"c", 2, nil, 3 * time.Second}}, 3 * time.Second, true},
+		{
+			"lifted by a new coordinator that knew it", "d",
+			[]digest{{"c", 1, listed, 0}, {"d", 2, listed, 3 * time.Second}, {"d", 2, nil, 6 * time.Second}}, 6 * time.Second, false,
+		},
+		{"this node coordinates", "n", []digest{{"c", 1, listed, 0}}, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			world := modeler.NewWorld(modeler.Node{ID: "n"})
 			world.Coordinator = tt.coordinator
-			if tt.known {
-				world.BrokenAttempts.Put(part, quarantined)
+			for _, d := range tt.digests {
+				message := modeler.Message{From: d.from, Incarnation: d.incarnation, Body: modeler.Digest{Suspects: d.suspects}}
+				watcher.New().Run(&modeler.Tick{Now: start.Add(d.at), Events: []modeler.Event{modeler.PeerReceived{Message: message}}}, world)
 			}
-			digestAt := start
-			if tt.known {
-				digestAt = start.Add(tt.at)
-			}
-			message := modeler.Message{From: tt.from, Body: modeler.Digest{Suspects: tt.suspects}}
-			watcher.New().Run(&modeler.Tick{Now: digestAt, Events: []modeler.Event{modeler.PeerReceived{Message: message}}}, world)
 			brokenAttempts, _ := world.BrokenAttempts.Get(part)
 			assert.Equal(t, brokenAttempts.Quarantined(start.Add(tt.at)), tt.want)
 		})
 	}
 }
 
+// TestSuspectsForCoordinator guards against a new coordinator that places requests which the one before refused.
+func TestSuspectsForCoordinator(t *testing.T) {
+	suspects := []modeler.Suspect{{Fingerprint: part, Count: 3, Requests: []modeler.Fingerprint{1, 2, 3}, SharedPart: true, QuarantinedFor: time.Minute}}
+	for _, tt := range []struct {
+		name        string
+		coordinator modeler.NodeID
+		want        bool
+	}{{"this node coordinates", "n", true}, {"another node coordinates", "c", false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			world.Coordinator = tt.coordinator
+			message := modeler.Message{From: "m", Body: modeler.Beat{Suspects: suspects}}
+			watcher.New().Run(&modeler.Tick{Now: start, Events: []modeler.Event{modeler.PeerReceived{Message: message}}}, world)
+			brokenAttempts, _ := world.BrokenAttempts.Get(part)
+			assert.Equal(t, brokenAttempts.Quarantined(start), tt.want)
+		})
+	}
+}
+
 // TestBrokenAttemptsAreBounded guards against a table that grows with each broken attempt, and against a quarantine that is lost to it.
 func TestBrokenAttemptsAreBounded(t *testing.T) {
 	world, system := modeler.NewWorld(modeler.Node{ID: "n"}), watcher.New()
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -46,7 +46,11 @@
 				recordOutcome(tick, world, body)
 				updateHealth(tick, world, body)
 			case modeler.Digest:
-				applySuspects(tick.Now, world, e.Message.From, body.Suspects)
+				applyDigest(tick.Now, world, e.Message, body.Suspects)
+			case modeler.Beat:
+				if world.Coordinates() {
+					mergeSuspects(tick.Now, world, body.Suspects)
+				}
 			}
 		}
 	}
