Wait for the guard's search before the next attempt is placed

The call's next attempt has the same request ID as the guard's search. The search then cancelled the placement of the attempt: the call got no decision until its deadline and ended with 504, or the coordinator counted one request too few on an engine. That needs a silent engine that then fails under load, as crashing engines do.

Cause: stop only told the search to end, and its cancellation arrived after the next attempt's request.

Change: an attempt ends only once its guard's searches have ended.

--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -64,6 +64,7 @@
 	guard := f.guard(p, id, exchange.Abort, f.silenceLimit(p, plan))
 	defer func() {
 		guard.stop()
+		guard.wait()
 		if p.nextDecision = guard.replacement(); p.nextDecision != nil {
 			p.countedRetries++
 		}
--- a/internal/fleet/forwarder/guard.go
+++ b/internal/fleet/forwarder/guard.go
@@ -38,6 +38,9 @@
 	resuming bool
 	// found is the placement for which the connection was aborted.
 	found *modeler.Decision
+	// searches counts the searches that are running. The next attempt has the request ID of a search, so it must not be placed before the search
+	// has cancelled its own placement request.
+	searches sync.WaitGroup
 }
 
 // guard returns a guard for the attempt id, which calls abort to close the attempt's connection. The first search starts after limit; with
@@ -86,6 +89,9 @@
 	}
 }
 
+// wait waits until no search is running. It is called after the last call of stop.
+func (g *silenceGuard) wait() { g.searches.Wait() }
+
 // replacement returns the placement for which the connection was aborted, or nil.
 func (g *silenceGuard) replacement() *modeler.Decision {
 	g.mu.Lock()
@@ -101,6 +107,8 @@
 		g.mu.Unlock()
 		return
 	}
+	g.searches.Add(1)
+	defer g.searches.Done()
 	ctx, cancel := context.WithDeadline(context.Background(), g.deadline)
 	defer cancel()
 	request := g.request
