Serve a request that was in a buffer when its connection began to drain

The drainer took the connection for one that waits, and its read deadline ended the context of the request.

Cause: the drainer saw a request only when its own connection was read.

Change: the handler tells the drainer that a request has begun, through the context of the connection.

--- a/internal/fleet/assembler/server.go
+++ b/internal/fleet/assembler/server.go
@@ -39,6 +39,7 @@
 		drain := drainer.New()
 		servers = append(servers, server{listener: drain.Listener(l), drainer: drain, accepted: make(chan struct{}), http: &http.Server{
 			Handler: drain.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ConnContext: drain.ConnContext,
 			ConnState: func(conn net.Conn, state http.ConnState) {
 				idleCloser.Track(conn, state)
 				drain.Track(conn, state)
--- a/internal/web/drainer/conn.go
+++ b/internal/web/drainer/conn.go
@@ -66,6 +66,16 @@
 	c.waiting = true
 }
 
+// requestRead marks the connection as carrying a request. The request may have been in a buffer of the server already when the connection began to
+// wait for it.
+func (c *conn) requestRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	// An error means that the connection is closed.
+	_ = c.applyDeadline()
+}
+
 // limitWait limits the wait of a connection that is waiting.
 func (c *conn) limitWait() {
 	c.mu.Lock()
--- a/internal/web/drainer/drainer.go
+++ b/internal/web/drainer/drainer.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// Drainer tracks the connections of one http.Server, which must use Listener, Track and Handler. It is safe for concurrent use.
+// Drainer tracks the connections of one http.Server, which must use Listener, Track, ConnContext and Handler. It is safe for concurrent use.
 type Drainer struct {
 	// linger is the time in nanoseconds that Drain leaves a connection for another request. It is valid once draining is set.
 	linger   atomic.Int64
@@ -41,6 +41,9 @@
 // Handler returns a handler that calls next. During Drain, its answers end their connections.
 func (d *Drainer) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.requestRead()
+		}
 		if d.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -48,12 +51,25 @@
 	})
 }
 
-// Track records the state of a connection. It is the ConnState callback of the http.Server.
-func (d *Drainer) Track(c net.Conn, state http.ConnState) {
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// ConnContext adds the connection to the context of its requests. It is the ConnContext callback of the http.Server.
+func (d *Drainer) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, innerConn(c))
+}
+
+// innerConn returns the connection below TLS.
+func innerConn(c net.Conn) net.Conn {
 	if encrypted, ok := c.(*tls.Conn); ok {
-		c = encrypted.NetConn()
+		return encrypted.NetConn()
 	}
-	tracked, ok := c.(*conn)
+	return c
+}
+
+// Track records the state of a connection. It is the ConnState callback of the http.Server.
+func (d *Drainer) Track(c net.Conn, state http.ConnState) {
+	tracked, ok := innerConn(c).(*conn)
 	if !ok {
 		return
 	}
@@ -74,7 +90,7 @@
 	}
 }
 
-// Drain ends each connection that sends no byte of a request for the time linger, and returns when the last connection has ended. If
+// Drain ends each connection that sends no byte of a request (with TLS, no byte at all) for the time linger, and returns when the last connection has ended. If
 // ctx ends first, it returns its error, and the connections go on ending. It must be called after Serve has returned, because the
 // listener was closed. A linger of at least a round trip to the callers lets a caller finish that sends one request after another.
 func (d *Drainer) Drain(ctx context.Context, linger time.Duration) error {
--- a/internal/web/drainer/drainer_test.go
+++ b/internal/web/drainer/drainer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,9 @@
 
 const (
 	get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	// A request to slowPath takes slowTime, unless its context ends before.
+	slowPath = "/slow"
+	slowTime = 100 * time.Millisecond
 	// timeout bounds each test. No test waits for it unless it fails.
 	timeout = 5 * time.Second
 )
@@ -74,6 +78,7 @@
 	s.listener = s.drainer.Listener(countingListener{inner, s.reads, s.resume})
 	server := &http.Server{
 		Handler: s.drainer.Handler(http.HandlerFunc(s.serve)), ReadHeaderTimeout: timeout, IdleTimeout: time.Minute, ConnState: s.drainer.Track,
+		ConnContext: s.drainer.ConnContext,
 	}
 	go func() {
 		defer close(s.ended)
@@ -97,6 +102,13 @@
 	_ = http.NewResponseController(w).Flush()
 	s.begun <- struct{}{}
 	<-s.finish
+	if r.URL.Path == slowPath {
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(slowTime):
+		}
+	}
 	_, _ = w.Write(append([]byte("body "), body...))
 }
 
@@ -219,6 +231,20 @@
 	assert.NilError(t, s.drainer.Drain(ctx, timeout))
 }
 
+// TestDrainBufferedRequest guards against a drain that ends a connection whose next request the server had read together with the one before.
+func TestDrainBufferedRequest(t *testing.T) {
+	s := newTestServer(t)
+	close(s.resume)
+	s.send(t, get+strings.Replace(get, "/", slowPath, 1))
+	<-s.begun
+	s.stopAccepting(t, 0)
+	close(s.finish)
+	for range 2 {
+		body, _ := s.receive(t)
+		assert.Equal(t, body, "body ")
+	}
+}
+
 // TestDrainDeadline guards against a drain that waits for a request past the end of its context.
 func TestDrainDeadline(t *testing.T) {
 	s := newTestServer(t)
--- a/internal/web/listener/listener.go
+++ b/internal/web/listener/listener.go
@@ -111,6 +111,7 @@
 		IdleTimeout:       o.IdleTimeout,
 		Protocols:         protocols,
 		ConnState:         connections.Track,
+		ConnContext:       connections.ConnContext,
 		// net/http logs failed handshakes and panics of handlers here.
 		ErrorLog: log.New(warnWriter{o.Log}, "", 0),
 	}
