Release a placement whose endpoint this node does not know

The coordinator was not told and counted the load of the unused placement until the node's heartbeat, or until the end of the request if the node placed it locally.

Change: the placement is released, as one that comes too late is. TestUnknownEndpointIsReleased fails without it.

--- a/internal/fleet/placer/leaving_test.go
+++ b/internal/fleet/placer/leaving_test.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// TestUnknownEndpointIsReleased guards against a coordinator that counts a placement as load although this node does not know its endpoint and
+// places or refuses the request itself.
+func TestUnknownEndpointIsReleased(t *testing.T) {
+	n := newTestNode("a", "b", 1)
+	n.run(modeler.PlacementRequested{Request: request("r", "a")})
+	plan := modeler.Plan{Endpoint: modeler.Endpoint{ID: "unknown"}}
+	all := n.run(peer("b", modeler.Granted{ID: "r", Decision: modeler.Decision{Plan: plan}}))
+	assert.DeepEqual(t, bodies[modeler.Ended](all), []modeler.Ended{{ID: "r", Endpoint: "unknown", Outcome: modeler.Abandoned}})
+}
+
 // TestLeavingRetryAfter guards against callers that are sent away for long although other nodes serve, and against callers that come back before
 // the only node has restarted.
 func TestLeavingRetryAfter(t *testing.T) {
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -177,6 +177,7 @@
 		plan, ok := s.resolve(tick.Now, world, decision.Plan)
 		if !ok {
 			// This node and the coordinator have read the store up to different offsets.
+			s.releaseGrant(tick, world, from, body)
 			s.wait(world, modeler.Waiting{Request: entry.Request, Since: tick.Now})
 			return
 		}
