Tell parts of prompts apart by the service that they are sent to

A quarantine learned at one service refused the sound prompts of the other.

Cause: the fingerprint of a part was a hash of its id only.

Change: the service is in the hash, so that a part that is deadly at two services is learned at each. TestPartFingerprints fails without it.

--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -173,7 +173,7 @@
 	return forwarder.Call{
 		Fields: fields, Route: route, Service: service, Member: member, Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: r.Header, Body: body, Arrived: arrived, Fingerprint: fingerprint(r.URL.Path, member.ID, body),
-		SharedParts: partFingerprints(fields.SharedParts),
+		SharedParts: partFingerprints(service.ID, fields.SharedParts),
 	}, http.StatusOK
 }
 
@@ -186,15 +186,15 @@
 	return hashFields([]byte(path), []byte(member), body)
 }
 
-// partFingerprints returns hashes of the ids of parts of a prompt. The first field keeps them apart from the fingerprints of requests, which
-// begin with a path.
-func partFingerprints(ids []string) []modeler.Fingerprint {
+// partFingerprints returns hashes of the ids of parts of a prompt. They differ between services: a part that crashes the engines of one may be
+// harmless to another. The first field keeps them apart from the fingerprints of requests, which begin with a path.
+func partFingerprints(service modeler.ServiceID, ids []string) []modeler.Fingerprint {
 	if len(ids) == 0 {
 		return nil
 	}
 	parts := make([]modeler.Fingerprint, 0, len(ids))
 	for _, id := range ids {
-		parts = append(parts, hashFields([]byte("part"), []byte(id)))
+		parts = append(parts, hashFields([]byte("part"), []byte(service), []byte(id)))
 	}
 	return parts
 }
