--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -49,6 +49,11 @@
 	// whose answer has not begun are answered.
 	stopMargin   = 250 * time.Millisecond
 	answerMargin = 150 * time.Millisecond
+	// minAnswerTime is the time that they have for it at least if the process is late, as after a freeze.
+	minAnswerTime = 50 * time.Millisecond
+	// addressMargin is subtracted from the lifetime of callers' addresses after a stop signal. It covers the time until the signal is handled and a
+	// request is read.
+	addressMargin = 100 * time.Millisecond
 	// callerIdleTimeout is how long an idle connection of a caller is kept if the operators state no shorter time.
 	callerIdleTimeout = 10 * time.Minute
 	// headerTimeout bounds how long a caller may take to send the header of a request.
@@ -158,7 +163,11 @@
 			stopAt := n.leave(running)
 			stopServers(running, stopAt, servers)
 			cutOff(forwarder.ErrStopping)
-			stopServers(running, stopAt.Add(answerMargin), servers)
+			answerUntil := stopAt.Add(answerMargin)
+			if soonest := time.Now().Add(minAnswerTime); soonest.After(answerUntil) {
+				answerUntil = soonest
+			}
+			stopServers(running, answerUntil, servers)
 		case <-running.Done():
 		}
 		err := closePeers()
@@ -210,7 +219,7 @@
 	grace := loader.Seconds(n.settings.Bounds.GraceSeconds) - stopMargin
 	addressLifetime := loader.Seconds(n.settings.Addresses.KeepSeconds * n.settings.Addresses.LongestKeep)
 	stopAt := began.Add(grace)
-	n.loop.Post(modeler.LeaveRequested{AddressUntil: began.Add(addressLifetime), StopAt: stopAt})
+	n.loop.Post(modeler.LeaveRequested{AddressUntil: began.Add(addressLifetime - addressMargin), StopAt: stopAt})
 	const interval = 50 * time.Millisecond
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
