Probe a confirmed quarantine again

Change: another probe is due 30 s after one that broke, then twice as long each time, up to 8 min. It costs an engine if the part is deadly; BUDGET allows three such requests, so that it can't come much earlier.

--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -24,6 +24,10 @@
 	probeDelay = 1500 * time.Millisecond
 	// probeTimeout is the time after which another request becomes the probe if the last one has shown nothing.
 	probeTimeout = 5 * time.Second
+	// confirmedProbeDelay is the time after a probe that broke until the next one. It doubles with each probe up to maxProbeDelay, since each costs an
+	// engine if the part is deadly.
+	confirmedProbeDelay = 30 * time.Second
+	maxProbeDelay       = 8 * time.Minute
 	// maxQuarantineTime bounds the quarantine of a fingerprint that is quarantined again and again.
 	maxQuarantineTime = 4 * time.Hour
 )
@@ -48,9 +52,10 @@
 	// ListedBy is the incarnation of the coordinator whose digest listed the fingerprint last. Only the digest of the same process may remove it:
 	// another coordinator may not know it.
 	ListedBy uint64
-	// Probe is the last request that was placed in spite of a quarantine, at ProbedAt.
+	// Probe is the last request that was placed in spite of a quarantine, at ProbedAt. Probes counts those of the last quarantine.
 	Probe    RequestID
 	ProbedAt time.Time
+	Probes   int
 }
 
 // WithBrokenAttempt returns the count after one more broken attempt.
@@ -127,13 +132,23 @@
 	return !now.Before(b.From) && now.Before(b.Until)
 }
 
-// ProbeDue reports whether a request has to show whether the quarantine of this shared part is justified: there was none in this quarantine, or
-// the last one neither broke nor cleared the part.
+// ProbeDue reports whether a request has to show whether the quarantine of this shared part is justified: there was none in this quarantine, the
+// last one neither broke nor cleared the part, or it broke some time ago. The engines of a service may all have failed for another reason then.
 func (b BrokenAttempts) ProbeDue(now time.Time) bool {
 	if !b.Quarantined(now) || now.Sub(b.From) < probeDelay {
 		return false
 	}
-	return b.ProbedAt.Before(b.From) || now.Sub(b.ProbedAt) >= probeTimeout && !b.confirmed()
+	if b.ProbedAt.Before(b.From) {
+		return true
+	}
+	delay := probeTimeout
+	if b.confirmed() {
+		delay = confirmedProbeDelay
+		for range b.Probes - 1 {
+			delay = min(2*delay, maxProbeDelay)
+		}
+	}
+	return now.Sub(b.ProbedAt) >= delay
 }
 
 // confirmed reports whether an attempt has broken since the probe of the last quarantine was placed.
@@ -143,7 +158,10 @@
 
 // WithProbe returns the count after a request became the probe.
 func (b BrokenAttempts) WithProbe(id RequestID, at time.Time) BrokenAttempts {
-	b.Probe, b.ProbedAt = id, at
+	if b.ProbedAt.Before(b.From) {
+		b.Probes = 0
+	}
+	b.Probe, b.ProbedAt, b.Probes = id, at, b.Probes+1
 	return b
 }
 
