--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -49,11 +49,12 @@
 func (requestPolicy) quarantineTime() time.Duration { return requestQuarantineTime }
 
 // partPolicy counts, for a shared part of prompts, broken attempts that were placed one after the other. If many attempts break at one moment,
-// as when a data centre fails, only one counts.
+// as when a data centre fails, only one counts. Attempts that overlap for longer than the observation time all count, because first events can take
+// seconds.
 type partPolicy struct{}
 
 func (partPolicy) with(b modeler.BrokenAttempts, e modeler.Ended, placed, now time.Time) (modeler.BrokenAttempts, bool) {
-	if b.Count > 0 && placed.Before(b.At) {
+	if b.Count > 0 && placed.Before(b.At) && now.Sub(b.At) < modeler.ObservationTime {
 		return b, false
 	}
 	request := requestFingerprint(e)
