--- a/internal/fleet/placer/leaving.go
+++ b/internal/fleet/placer/leaving.go
@@ -18,7 +18,8 @@
 
 // endsInTime reports whether a request that is placed now, with its first event or response after first, ends before this node stops. While callers
 // may use this node's address, it is enough that this is likely, because a refusal costs each of them a retry. Of those that come later, only requests
-// whose timeout ends before are taken. A request that resumes a stream always counts as in time: its caller can no longer be refused.
+// whose timeout ends before are taken. A request that resumes a stream always counts as in time: its caller can no longer be refused. It uses fields
+// that are not sent to other nodes, so the requests of others count as in time.
 func endsInTime(now time.Time, world *modeler.World, request modeler.Request, first time.Duration) bool {
 	if world.StopAt.IsZero() || request.Node != world.Self.ID || request.Resumes {
 		return true
