Show that all nodes coordinate while they can't register

Cause: nodes that start while the store's topic of registrations is down know no other node, elect themselves, and each use the share of a cold engine's limit that is meant for one coordinator.

Change: a script that kills all nodes and starts them again during a partial outage of the store.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -11,6 +11,7 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(*rig) (int, error){
+	"cold":    cold,
 	"leaving": leaving,
 }
 
