Show that a lost node stays in the directory during a rolling restart

Cause: a coordinator's digest lists nodes that it knows only from the digest of the coordinator before it. Each hand-over makes a dead node count as alive for up to 2.5 s more.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(*rig) (int, error){
 	"cold":    cold,
 	"leaving": leaving,
+	"gone":    gone,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
