Show that an entry of another writer gets clients' requests

Cause: an entry of an engine that lacks fields is used unless it lacks one of five, and a 4xx without an engine's signature is passed on and counts as a good answer.

Change: a script with one such entry, whose server answers 404.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -14,6 +14,7 @@
 	"cold":    cold,
 	"leaving": leaving,
 	"gone":    gone,
+	"odd":     odd,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
