Show that a late registration splits the coordination for good

Cause: a node takes the registration with the higher offset for the newer process. If the store carries out the registration of a process that has ended after that of the living one, nodes that start later ignore the living one.

Change: a script with one late write, a killed node and a node that starts afterwards.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -15,6 +15,7 @@
 	"leaving": leaving,
 	"gone":    gone,
 	"odd":     odd,
+	"late":    late,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -282,6 +282,11 @@
 		}
 		time.Sleep(startGap)
 	}
+	return r.awaitReady()
+}
+
+// awaitReady waits until all nodes are ready.
+func (r *rig) awaitReady() error {
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		count := 0
 		for _, n := range r.nodes {
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -3,7 +3,11 @@
 package main
 
 import (
+	"bytes"
+	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -26,6 +30,15 @@
 	// down holds the topics whose calls get 503, and mute is set while no call gets an answer, as with `platform_down` silent.
 	down map[string]bool
 	mute chan struct{}
+	// late is the append that gets no answer and is carried out later, nil for none.
+	late *lateAppend
+}
+
+// lateAppend is the next append to a topic. It gets no answer, and is carried out after a delay.
+type lateAppend struct {
+	topic string
+	delay time.Duration
+	done  func()
 }
 
 func startStore(r *rig) (*store, error) {
@@ -53,6 +66,40 @@
 	s.mute = nil
 }
 
+// delayNext makes the next append to a topic get no answer and be carried out after a delay.
+func (s *store) delayNext(topic string, delay time.Duration, done func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = &lateAppend{topic: topic, delay: delay, done: done}
+}
+
+// takeLate returns the late append if a call is it, and nil otherwise.
+func (s *store) takeLate(r *http.Request) *lateAppend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.late == nil || r.URL.Path != "/api/log-append" || r.URL.Query().Get("topic") != s.late.topic {
+		return nil
+	}
+	late := s.late
+	s.late = nil
+	return late
+}
+
+// carryOutLate carries out a call after its delay, without an answer. The caller's connection stays open until the caller closes it.
+func (s *store) carryOutLate(r *http.Request, late *lateAppend) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	time.AfterFunc(late.delay, func() {
+		again := r.Clone(context.Background())
+		again.Body = io.NopCloser(bytes.NewReader(body))
+		s.Store.ServeHTTP(httptest.NewRecorder(), again)
+		late.done()
+	})
+	<-r.Context().Done()
+}
+
 func (s *store) isMute() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,6 +120,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if late := s.takeLate(r); late != nil {
+		s.carryOutLate(r, late)
+		return
+	}
 	if r.URL.Path == "/api/log-append" {
 		s.appending.Lock()
 		time.Sleep(appendTime)
