Show that a booking at an escaped path runs twice

Cause: a node selects the route by the path without its escapes and forwards the path with them. /book/open%2F17 belongs to the unsafe route /book/, but is taken for a request of the safe route /book/open/ and sent again when its answer is lost.

Change: a script with lost answers.

--- a/review/standins/clients.go
+++ b/review/standins/clients.go
@@ -22,7 +22,7 @@
 )
 
 // configuration returns version 1 of the operator's configuration: streams at /stream/ of the service pool, and requests that may run once (/book/)
-// or more often (/stock/) of the service app. coldPerS is the rate of cold engines of the pool.
+// or more often (/book/open/ and /stock/) of the service app. coldPerS is the rate of cold engines of the pool.
 func configuration(coldPerS float64, slots int) []byte {
 	route := func(prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
 		return map[string]any{
@@ -34,7 +34,8 @@
 	value, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []any{
-			route("/stream/", "stream", "pool", 10000, 300, 2), route("/book/", "unsafe", "app", 1000, 150, 1), route("/stock/", "safe", "app", 1000, 150, 2),
+			route("/stream/", "stream", "pool", 10000, 300, 2), route("/book/", "unsafe", "app", 1000, 150, 1),
+			route("/book/open/", "safe", "app", 1000, 150, 2), route("/stock/", "safe", "app", 1000, 150, 2),
 		},
 		"services": []any{
 			map[string]any{
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,6 +49,8 @@
 	// silent is set while the engine writes no entries, and limit is the Server-Limit that it names, zero for none.
 	silent bool
 	limit  float64
+	// lost is the part of the requests that it runs whose answers are lost.
+	lost float64
 }
 
 // start serves requests and writes the first entry.
@@ -111,6 +114,13 @@
 	e.rig.note("%s is cold for %s", e.id, d)
 }
 
+// loseAnswers makes the engine lose the answers of a part of the requests that it runs from now on.
+func (e *engine) loseAnswers(part float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = part
+}
+
 // got returns the arrivals so far.
 func (e *engine) got() []arrival {
 	e.mu.Lock()
@@ -130,7 +140,7 @@
 	e.mu.Lock()
 	runs := e.active < e.slots
 	e.arrivals = append(e.arrivals, arrival{request: id, at: time.Now(), ran: runs})
-	limit := e.limit
+	limit, lost := e.limit, rand.Float64() < e.lost
 	if runs {
 		e.active++
 	}
@@ -151,6 +161,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if lost {
+		time.Sleep(e.work)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Response-Signature", e.id+"."+id)
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
 		time.Sleep(e.work)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -16,6 +16,7 @@
 	"gone":    gone,
 	"odd":     odd,
 	"late":    late,
+	"encoded": encoded,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
