Log nodes that time out

Change: a node logs NodeTimedOut when another node stops being live without leaving or restarting, with the time since its last message and since the last digest that reported it. If digests renew the report, SinceReport is about 2.5 s and SinceMessage much longer or missing. If a registration revives the node, SinceReport is missing.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -42,6 +42,8 @@
 	// doubted is set if the coordinator did not respond to a request before the last tick.
 	doubted bool
 	beats   int
+	// live holds the incarnations of the nodes for which Live reported true at the last heartbeat.
+	live map[modeler.NodeID]uint64
 	// announced counts, by incarnation, the digests that contained a node since it started.
 	announced map[uint64]int
 	// nextAlive, modulo the number of live nodes, is the index at which the rotation through them continues in the next digest.
@@ -52,7 +54,7 @@
 
 // New returns a System. loads summarises the load of all endpoints for the digest; it may be nil.
 func New(loads func(time.Time, *modeler.World) map[modeler.EndpointID]modeler.LoadSummary) *System {
-	return &System{loads: loads, announced: map[uint64]int{}}
+	return &System{loads: loads, announced: map[uint64]int{}, live: map[modeler.NodeID]uint64{}}
 }
 
 // Run implements modeler.System.
@@ -237,6 +239,7 @@
 		tick.WakeAt(earlier(s.nextBeat, s.nextHello))
 		return
 	}
+	s.logTimeouts(tick, world)
 	hello := !tick.Now.Before(s.nextHello)
 	message := s.beatMessage(tick.Now, world)
 	var digest *modeler.Digest
@@ -269,6 +272,27 @@
 	tick.WakeAt(earlier(s.nextBeat, s.nextHello))
 }
 
+// logTimeouts logs the nodes that have stopped being live since the last heartbeat without leaving or restarting.
+func (s *System) logTimeouts(tick *modeler.Tick, world *modeler.World) {
+	for id, node := range world.Nodes.All() {
+		if Live(node, tick.Now) && !node.Leaving {
+			s.live[id] = node.Incarnation
+			continue
+		}
+		if incarnation, ok := s.live[id]; ok && incarnation == node.Incarnation && !node.Leaving {
+			fields := []modeler.LogField{{Key: "Node", Value: string(id)}, {Key: "Coordinator", Value: string(world.Coordinator)}}
+			if !node.LastSeenAt.IsZero() {
+				fields = append(fields, modeler.LogField{Key: "SinceMessage", Value: tick.Now.Sub(node.LastSeenAt)})
+			}
+			if !node.ReportedAt.IsZero() {
+				fields = append(fields, modeler.LogField{Key: "SinceReport", Value: tick.Now.Sub(node.ReportedAt)})
+			}
+			tick.Emit(modeler.LogEvent{Name: modeler.LogEventNodeTimedOut, Fields: fields})
+		}
+		delete(s.live, id)
+	}
+}
+
 // hubNodes returns the other nodes among the hubs, and whether this node is a hub. Dead nodes are excluded: they stay in the table, and
 // without the exclusion all hubs would be dead nodes after some time. Nodes from which no message was received yet count as candidates.
 func hubNodes(now time.Time, world *modeler.World) (others map[modeler.NodeID]bool, self bool) {
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -19,6 +19,8 @@
 const (
 	// LogEventNodeRegistered: Rank.
 	LogEventNodeRegistered LogEventName = "NodeRegistered"
+	// LogEventNodeTimedOut: Node, Coordinator, SinceMessage, SinceReport.
+	LogEventNodeTimedOut LogEventName = "NodeTimedOut"
 	// LogEventCoordinatorChanged: Coordinator, Replaced, Rank.
 	LogEventCoordinatorChanged LogEventName = "CoordinatorChanged"
 	// LogEventCoordinatorDoubted: Request, Coordinator, HeardBefore.
@@ -71,7 +73,7 @@
 // LogEventNames lists all events except LinesDropped, which the log writer adds.
 var LogEventNames = [...]LogEventName{
 	LogEventNodeStarted, LogEventNodeLeaving, LogEventNodeStopped, LogEventSettingsChecked,
-	LogEventNodeRegistered, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
+	LogEventNodeRegistered, LogEventNodeTimedOut, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
 	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
 	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable,
