Let reports of live nodes expire from the node's last message

Cause: a node counted as live for 2.5 s after a digest had reported it, and a coordinator's digest lists all nodes that it counts as live, also those that it knows from the digest of the coordinator before. Each hand-over renewed the report.

Change: digests state the time since the last message from each node (fields age and alive_ages_ms, missing in digests of older versions, which then count as before). A report expires 3 s after that message, however many nodes repeat it. It works for any chain of coordinators, since the time of the first-hand observation is what passes on.

--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -35,10 +35,13 @@
 // digest returns the digest that the coordinator sends to all nodes.
 func (s *System) digest(now time.Time, world *modeler.World) *modeler.Digest {
 	alive := Alive(world, now)
-	digest := &modeler.Digest{Alive: s.digestNodes(alive)}
+	digest := &modeler.Digest{}
+	for _, node := range s.digestNodes(alive) {
+		digest.Alive = append(digest.Alive, modeler.ReportedNode{Node: node, Age: messageAge(now, world, node)})
+	}
 	for _, node := range alive {
 		if node.Rank != modeler.UnregisteredRank {
-			digest.AliveRanks = append(digest.AliveRanks, node.Rank)
+			digest.AliveRanks = append(digest.AliveRanks, modeler.ReportedRank{Rank: node.Rank, Age: messageAge(now, world, node)})
 		}
 	}
 	if s.loads != nil {
@@ -48,6 +51,14 @@
 	return digest
 }
 
+// messageAge returns the time since the last message from a node, which is zero for this node itself.
+func messageAge(now time.Time, world *modeler.World, node modeler.Node) time.Duration {
+	if node.ID == world.Self.ID {
+		return 0
+	}
+	return now.Sub(node.AliveAt())
+}
+
 // reportedTerms returns the terms of endpoints that other nodes have to know, at most maxTerms: first the lowest limits, then those that are leaving.
 func reportedTerms(now time.Time, world *modeler.World) []modeler.ReportedTerms {
 	var list []modeler.ReportedTerms
@@ -138,19 +149,19 @@
 
 // applyDigest records the nodes that a digest reports as alive.
 func (s *System) applyDigest(now time.Time, world *modeler.World, digest modeler.Digest) {
-	for _, node := range digest.Alive {
-		mergeNode(world, node)
-		if known, ok := world.Nodes.Get(node.ID); ok && known.Incarnation == node.Incarnation {
-			world.Nodes.Put(node.ID, known.WithReported(now).WithLeaving(known.Leaving || node.Leaving))
+	for _, report := range digest.Alive {
+		mergeNode(world, report.Node)
+		if known, ok := world.Nodes.Get(report.Node.ID); ok && known.Incarnation == report.Node.Incarnation {
+			world.Nodes.Put(known.ID, known.WithReported(now.Add(-report.Age)).WithLeaving(known.Leaving || report.Node.Leaving))
 		}
 	}
-	alive := make(map[int64]bool, len(digest.AliveRanks))
-	for _, rank := range digest.AliveRanks {
-		alive[rank] = true
+	ages := make(map[int64]time.Duration, len(digest.AliveRanks))
+	for _, report := range digest.AliveRanks {
+		ages[report.Rank] = report.Age
 	}
 	for id, known := range world.Nodes.All() {
-		if alive[known.Rank] {
-			world.Nodes.Put(id, known.WithReported(now))
+		if age, ok := ages[known.Rank]; ok {
+			world.Nodes.Put(id, known.WithReported(now.Add(-age)))
 		}
 	}
 }
--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -91,7 +91,7 @@
 			world := modeler.NewWorld(modeler.Node{ID: "self", Rank: 9})
 			world.Nodes.Put("a", modeler.Node{ID: "a", Incarnation: 2, Rank: 1}.WithLastSeen(now))
 			world.Nodes.Put("b", modeler.Node{ID: "b", Incarnation: 3, Rank: 2})
-			digest := modeler.Digest{AliveRanks: []int64{2}, Alive: []modeler.Node{{ID: "c", Incarnation: 4, Rank: 3}}}
+			digest := modeler.Digest{AliveRanks: []modeler.ReportedRank{{Rank: 2}}, Alive: []modeler.ReportedNode{{Node: modeler.Node{ID: "c", Incarnation: 4, Rank: 3}}}}
 			tick := &modeler.Tick{Now: now, Events: []modeler.Event{
 				modeler.PeerReceived{Message: modeler.Message{From: tt.from, Incarnation: tt.incarnation, Body: digest}},
 			}}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -22,10 +22,13 @@
 	helloInterval = time.Second
 	// nodeTimeout is the time without messages after which any other node counts as dead: two hello intervals and some delay.
 	nodeTimeout = 2500 * time.Millisecond
+	// reportTimeout is the time without messages after which a node counts as dead that only other nodes receive messages from. It is longer than
+	// nodeTimeout by a heartbeat and its delay, since a report is that old when the coordinator sends it.
+	reportTimeout = 3 * time.Second
 	// hubCount is the number of hubs: the nodes that precede all others, which send hellos to all others. The other nodes send hellos only to the
 	// hubs, so that the number of messages grows with the number of nodes and not with its square.
 	hubCount = 6
-	// digestEvery is the number of the coordinator's heartbeats per digest: two digests fit into nodeTimeout. The coordinator also sends one
+	// digestEvery is the number of the coordinator's heartbeats per digest: two digests fit into reportTimeout. The coordinator also sends one
 	// with every hello.
 	digestEvery = 4
 	// handoverTime is how long nodes tell a new coordinator the fingerprints that the one before listed: several heartbeats. It may have just
@@ -131,15 +134,15 @@
 	}
 }
 
-// Live reports whether a message from the node, or a digest that reports it as alive, was received within nodeTimeout.
+// Live reports whether this node received a message from the node within nodeTimeout or, according to digests, another node did so within
+// reportTimeout.
 func Live(node modeler.Node, now time.Time) bool {
-	last := node.LastSeenAt
-	if node.ReportedAt.After(last) {
-		last = node.ReportedAt
-	}
-	return !last.IsZero() && now.Sub(last) < nodeTimeout
+	return within(node.LastSeenAt, now, nodeTimeout) || within(node.ReportedAt, now, reportTimeout)
 }
 
+// within reports whether at is set and less than limit ago.
+func within(at, now time.Time, limit time.Duration) bool { return !at.IsZero() && now.Sub(at) < limit }
+
 // announced returns this node as other nodes know it: without its capacity until it has read the store and could coordinate.
 func announced(world *modeler.World) modeler.Node {
 	if !world.Configuration.Loaded() || world.ConfirmedAt[modeler.Endpoints].IsZero() {
@@ -174,7 +177,7 @@
 	best := candidate(world)
 	for id, node := range world.Nodes.All() {
 		// A coordinator must be reachable from this node: reports by other nodes do not count.
-		if node.Leaving || !node.Precedes(best) || node.LastSeenAt.IsZero() || tick.Now.Sub(node.LastSeenAt) >= nodeTimeout {
+		if node.Leaving || !node.Precedes(best) || !within(node.LastSeenAt, tick.Now, nodeTimeout) {
 			continue
 		}
 		// A coordinator sends heartbeats at short intervals, so the short timeout applies to it, counted from its election at the earliest. A
@@ -217,7 +220,7 @@
 func Deputy(world *modeler.World, now time.Time) (modeler.Node, bool) {
 	best := candidate(world)
 	for id, node := range world.Nodes.All() {
-		if id != world.Coordinator && !node.Leaving && node.Precedes(best) && !node.LastSeenAt.IsZero() && now.Sub(node.LastSeenAt) < nodeTimeout {
+		if id != world.Coordinator && !node.Leaving && node.Precedes(best) && within(node.LastSeenAt, now, nodeTimeout) {
 			best = node
 		}
 	}
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -141,9 +141,16 @@
 }
 
 func decodeDigest(d *Digest) modeler.Digest {
-	digest := modeler.Digest{AliveRanks: d.GetAliveRanks(), Loads: make(map[modeler.EndpointID]modeler.LoadSummary, len(d.GetLoads()))}
+	digest := modeler.Digest{Loads: make(map[modeler.EndpointID]modeler.LoadSummary, len(d.GetLoads()))}
 	for _, n := range d.GetAlive() {
-		digest.Alive = append(digest.Alive, decodeNode(n))
+		digest.Alive = append(digest.Alive, modeler.ReportedNode{Node: decodeNode(n), Age: microseconds(n.GetAge())})
+	}
+	for i, rank := range d.GetAliveRanks() {
+		report := modeler.ReportedRank{Rank: rank}
+		if i < len(d.GetAliveAgesMs()) {
+			report.Age = time.Duration(d.GetAliveAgesMs()[i]) * time.Millisecond
+		}
+		digest.AliveRanks = append(digest.AliveRanks, report)
 	}
 	for _, l := range d.GetLoads() {
 		digest.Loads[modeler.EndpointID(l.GetEndpoint())] = modeler.LoadSummary{
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -120,9 +120,16 @@
 }
 
 func encodeDigest(body modeler.Digest) *Digest {
-	digest := &Digest{AliveRanks: body.AliveRanks}
-	for _, n := range body.Alive {
-		digest.Alive = append(digest.Alive, encodeNode(n))
+	digest := &Digest{}
+	for _, r := range body.Alive {
+		node := encodeNode(r.Node)
+		node.Age = r.Age.Microseconds()
+		digest.Alive = append(digest.Alive, node)
+	}
+	for _, r := range body.AliveRanks {
+		digest.AliveRanks = append(digest.AliveRanks, r.Rank)
+		// Rounded up, so that a report that passes through several nodes does not become newer.
+		digest.AliveAgesMs = append(digest.AliveAgesMs, uint32((max(r.Age, 0)+time.Millisecond-1)/time.Millisecond))
 	}
 	for id, l := range body.Loads {
 		digest.Loads = append(digest.Loads, &Load{
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -67,9 +67,9 @@
 	}
 	// Digest is the coordinator's summary of the fleet.
 	Digest struct {
-		// Alive holds some of the live nodes. AliveRanks holds the ranks of all live nodes that are registered.
-		Alive      []Node
-		AliveRanks []int64
+		// Alive holds some of the live nodes. AliveRanks holds all live nodes that are registered.
+		Alive      []ReportedNode
+		AliveRanks []ReportedRank
 		// Loads holds the loads of the busiest endpoints.
 		Loads map[EndpointID]LoadSummary
 		// Suspects holds the fingerprints that are quarantined, and the shared parts of prompts that may be soon.
@@ -77,6 +77,16 @@
 		// Terms holds the terms of endpoints that name a limit, have done so lately or are leaving.
 		Terms []ReportedTerms
 	}
+	// ReportedNode is a node in a digest. Age is the time since a node has received the last message from it.
+	ReportedNode struct {
+		Node Node
+		Age  time.Duration
+	}
+	// ReportedRank is the rank of a node in a digest. Age is that of a ReportedNode.
+	ReportedRank struct {
+		Rank int64
+		Age  time.Duration
+	}
 	// TermsReport tells the node that places requests what endpoints have said to the sender.
 	TermsReport struct{ Terms []ReportedTerms }
 )
--- a/internal/fleet/modeler/node.go
+++ b/internal/fleet/modeler/node.go
@@ -24,7 +24,8 @@
 	Region        string
 	// LastSeenAt is when the last message from the node was received; zero before the first one.
 	LastSeenAt time.Time
-	// ReportedAt is when a digest last reported the node as alive.
+	// ReportedAt is when another node received the last message from the node that digests have reported. It is not the time of the digest:
+	// each coordinator that repeats a report would otherwise renew it.
 	ReportedAt time.Time
 	// Leaving is set if the node is shutting down and accepts no new callers.
 	Leaving bool
@@ -41,12 +42,23 @@
 	return n
 }
 
-// WithReported returns the node after a digest reported it as alive.
+// WithReported returns the node after a digest reported that another node received a message from it at the given time. An earlier report that
+// is newer stays in force.
 func (n Node) WithReported(at time.Time) Node {
-	n.ReportedAt = at
+	if at.After(n.ReportedAt) {
+		n.ReportedAt = at
+	}
 	return n
 }
 
+// AliveAt returns the time of the last message from the node that this node or, according to digests, another one has received.
+func (n Node) AliveAt() time.Time {
+	if n.ReportedAt.After(n.LastSeenAt) {
+		return n.ReportedAt
+	}
+	return n.LastSeenAt
+}
+
 // WithLeaving returns the node with Leaving set to the given value.
 func (n Node) WithLeaving(leaving bool) Node {
 	n.Leaving = leaving
