Count the time for entries to reappear from the store's return

Cause: a removal within 3 s of a failed call counted as an entry that had expired in the outage. The failure counted from when it was noticed, up to 1.5 s after the store's return, and the endpoint was then kept for 2.2 s from its removal. Each failed call of a node that the store turned away alone renewed the window as well.

In a run with logs, all nine nodes logged EndpointRemoved at once, 3.05 s after the return, with Kept=true, and EndpointLapsed 2.2 s later. Of the ten timelines of TestRecoveredStore 6 fail before, e.g. "still used after 8.05s".

Change: the store counts as unavailable if a call fails and no node has read the store since the call started or in the last second. Endpoints without an entry are kept until a read confirms the state as of 2 s after the node has learned of the return, whenever the entry was removed. TopicFailed has the start of the call; World.FailedAt goes. Two cases of TestEndpoints and one of TestStoreRegainedByOthers gave no confirmed read after the recovery, and an endpoint is now dropped only by such a read, so that a second outage does not drop it; they give one now and check the same times.

This works because the end of the window is at most 4.85 s after the return: 2 s until the node learns of it, 2 s, and 0.85 s for a confirmed read. Removals that bind come 3 s after the return, and 2 s are allowed then.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -8,12 +8,11 @@
 )
 
 const (
-	// storeFailureWindow is the time after a failed call to the store in which a missing entry may have expired because of the failure
-	// instead of having been removed.
-	storeFailureWindow = 3 * time.Second
-	// reappearTimeout is the time after the recovery of the store within which the entries of live endpoints reappear: the platform
-	// guarantees that they reappear within two seconds, and a read takes some time.
-	reappearTimeout = 2200 * time.Millisecond
+	// maxQuietTime is the age of this node's state up to which the store counts as available although calls of this node fail: another node
+	// reads it. While all nodes can read it, the state is younger.
+	maxQuietTime = time.Second
+	// reappearTimeout is the time after the recovery of the store within which the platform writes the entries of live endpoints again.
+	reappearTimeout = 2 * time.Second
 )
 
 // System applies the events that result from store records. A record whose offset is not higher than that of an applied
@@ -21,9 +20,14 @@
 type System struct {
 	// dataCentreOffsets holds the highest offset of each data centre's records.
 	dataCentreOffsets map[modeler.DataCentreID]int64
-	// recoveredAt is when the store first responded after the last failure.
+	// unavailable is set while the store responds to no node, as shown by a failed call that started at failedAt.
+	unavailable bool
+	failedAt    time.Time
+	// recoveredAt is when this node learned that the store responds again. It is zero if the store was always available.
 	recoveredAt time.Time
-	failing     bool
+	// confirmedAt is when this node's state of the endpoints was last confirmed as current. It is not before that of the World, which the poller
+	// sets later in the tick.
+	confirmedAt time.Time
 }
 
 // New returns a System.
@@ -31,6 +35,7 @@
 
 // Run implements modeler.System.
 func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
+	s.confirm(tick, world.ConfirmedAt[modeler.Endpoints])
 	for _, event := range tick.Events {
 		switch e := event.(type) {
 		case modeler.ConfigurationChanged:
@@ -53,9 +58,6 @@
 			s.handleFailure(tick, world, e)
 		}
 	}
-	if s.failing && world.ConfirmedAt[modeler.Endpoints].After(world.FailedAt[modeler.Endpoints]) {
-		s.handleRecovery(tick, world)
-	}
 	s.expireMissing(tick, world)
 }
 
@@ -166,8 +168,7 @@
 // unavailable.
 func (s *System) handleMissingEntry(tick *modeler.Tick, world *modeler.World, id modeler.EndpointID, offset int64, unreadable bool) {
 	endpoint, _ := world.Endpoints.Get(id)
-	failedAt := world.FailedAt[modeler.Endpoints]
-	kept := !unreadable && !endpoint.Draining && !failedAt.IsZero() && tick.Now.Sub(failedAt) < storeFailureWindow
+	kept := !unreadable && !endpoint.Draining && s.mayReappear()
 	if kept {
 		if endpoint.MissingSince.IsZero() {
 			world.Endpoints.Put(id, endpoint.WithMissing(tick.Now))
@@ -203,48 +204,55 @@
 }
 
 func (s *System) handleRead(tick *modeler.Tick, world *modeler.World, e modeler.TopicRead) {
-	if e.Topic == modeler.Endpoints && s.failing {
-		s.handleRecovery(tick, world)
+	if e.Topic == modeler.Endpoints {
+		s.confirm(tick, e.ConfirmedAt)
 	}
 	world.NextOffsets[e.Topic] = max(world.NextOffsets[e.Topic], e.Next)
 }
 
-// handleRecovery records that the store has recovered, after a read by this node or another one.
-func (s *System) handleRecovery(tick *modeler.Tick, world *modeler.World) {
-	s.failing, s.recoveredAt = false, tick.Now
+// confirm records that the state of the endpoints was current at a time, according to a read of this node or another one. The store has recovered if that
+// is after failedAt.
+func (s *System) confirm(tick *modeler.Tick, at time.Time) {
+	if !at.After(s.confirmedAt) {
+		return
+	}
+	s.confirmedAt = at
+	if !s.unavailable || !at.After(s.failedAt) {
+		return
+	}
+	s.unavailable, s.recoveredAt = false, tick.Now
 	tick.Emit(modeler.LogEvent{Name: modeler.LogEventStoreRegained, Fields: []modeler.LogField{
-		{Key: "Topic", Value: modeler.Endpoints.String()}, {Key: "SinceFailure", Value: tick.Now.Sub(world.FailedAt[modeler.Endpoints])},
+		{Key: "Topic", Value: modeler.Endpoints.String()}, {Key: "SinceFailure", Value: tick.Now.Sub(s.failedAt)},
 	}})
 }
 
+// handleFailure records that the store is unavailable if no node has read it since the failed call started, nor shortly before now: a call that gets no
+// response fails at its time limit, which may be after the store's recovery, and the store may turn away single nodes.
 func (s *System) handleFailure(tick *modeler.Tick, world *modeler.World, e modeler.TopicFailed) {
-	world.FailedAt[e.Topic] = tick.Now
-	if e.Topic != modeler.Endpoints || s.failing {
+	if e.Topic != modeler.Endpoints || s.unavailable || !e.StartedAt.After(s.confirmedAt) || tick.Now.Sub(s.confirmedAt) <= maxQuietTime {
 		return
 	}
-	s.failing = true
+	s.unavailable, s.failedAt = true, e.StartedAt
 	tick.Emit(modeler.LogEvent{Name: modeler.LogEventStoreLost, Fields: []modeler.LogField{
 		{Key: "Topic", Value: e.Topic.String()}, {Key: "Reason", Value: e.Reason}, {Key: "Offset", Value: world.NextOffsets[e.Topic]},
 	}})
 }
 
-// expireMissing removes missing endpoints whose entries did not reappear in time after the recovery of the store.
+// mayReappear reports whether a missing entry may have expired because the store was unavailable: until a read confirms the state as of
+// reappearTimeout after the store's recovery. The time of the removal does not count, since an endpoint may also leave in this time.
+func (s *System) mayReappear() bool {
+	return s.unavailable || !s.recoveredAt.IsZero() && s.confirmedAt.Before(s.recoveredAt.Add(reappearTimeout))
+}
+
+// expireMissing removes the missing endpoints once they may not reappear any more.
 func (s *System) expireMissing(tick *modeler.Tick, world *modeler.World) {
-	if s.failing {
+	if s.mayReappear() {
 		return
 	}
 	for id, endpoint := range world.Endpoints.All() {
 		if endpoint.MissingSince.IsZero() {
 			continue
 		}
-		since := endpoint.MissingSince
-		if s.recoveredAt.After(since) {
-			since = s.recoveredAt
-		}
-		if deadline := since.Add(reappearTimeout); tick.Now.Before(deadline) {
-			tick.WakeAt(deadline)
-			continue
-		}
 		world.Endpoints.Delete(id)
 		deleteEndpointState(world, id)
 		tick.Emit(modeler.LogEvent{Name: modeler.LogEventEndpointLapsed, Fields: []modeler.LogField{
--- a/internal/fleet/applier/applier_test.go
+++ b/internal/fleet/applier/applier_test.go
@@ -89,8 +89,10 @@
 // the store was unavailable.
 func TestEndpoints(t *testing.T) {
 	removed := modeler.EndpointRemoved{ID: "e", Offset: 2}
-	failed := modeler.TopicFailed{Topic: modeler.Endpoints, Reason: "timeout"}
-	read := modeler.TopicRead{Topic: modeler.Endpoints, Next: 3}
+	failed := modeler.TopicFailed{Topic: modeler.Endpoints, Reason: "timeout", StartedAt: start.Add(100 * time.Millisecond)}
+	read := func(confirmed time.Duration) modeler.TopicRead {
+		return modeler.TopicRead{Topic: modeler.Endpoints, Next: 3, ConfirmedAt: start.Add(confirmed)}
+	}
 	unreadable := modeler.EndpointRemoved{ID: "e", Offset: 2, Unreadable: true}
 	tests := []struct {
 		name  string
@@ -108,13 +110,16 @@
 		},
 		{
 			"does not reappear after the store's recovery",
-			[]step{{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {5300 * time.Millisecond, nil}}, false,
+			[]step{
+				{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read(3 * time.Second)},
+				{5300 * time.Millisecond, read(5 * time.Second)},
+			}, false,
 		},
 		{
 			"reappears after the store's recovery",
 			[]step{
-				{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read}, {4 * time.Second, changed(4)},
-				{6 * time.Second, nil},
+				{0, changed(1)}, {time.Second, failed}, {2 * time.Second, removed}, {3 * time.Second, read(3 * time.Second)}, {4 * time.Second, changed(4)},
+				{6 * time.Second, read(6 * time.Second)},
 			}, true,
 		},
 		{"unreadable entry", []step{{0, changed(1)}, {time.Second, failed}, {2 * time.Second, unreadable}}, false},
@@ -152,10 +157,13 @@
 				system.Run(&modeler.Tick{Now: start.Add(at), Events: events}, world)
 			}
 			apply(0, changed(1))
-			apply(time.Second, modeler.TopicFailed{Topic: modeler.Endpoints, Reason: "timeout"})
+			apply(time.Second, modeler.TopicFailed{Topic: modeler.Endpoints, Reason: "timeout", StartedAt: start.Add(950 * time.Millisecond)})
 			apply(2*time.Second, modeler.EndpointRemoved{ID: "e", Offset: 2})
 			world.ConfirmedAt[modeler.Endpoints] = start.Add(tt.confirmed)
 			apply(3 * time.Second)
+			if tt.confirmed > time.Second {
+				world.ConfirmedAt[modeler.Endpoints] = start.Add(tt.confirmed + 2*time.Second)
+			}
 			apply(5300 * time.Millisecond)
 			_, known := world.Endpoints.Get("e")
 			assert.Equal(t, known, tt.want)
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -107,8 +107,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case request := <-f.requests:
+			startedAt := time.Now()
 			if err := f.read(ctx, request); err != nil {
-				f.Post(modeler.TopicFailed{Topic: f.Source.Topic, Reason: err.Error()})
+				f.Post(modeler.TopicFailed{Topic: f.Source.Topic, Reason: err.Error(), StartedAt: startedAt})
 			}
 		}
 	}
--- a/internal/fleet/follower/registrar.go
+++ b/internal/fleet/follower/registrar.go
@@ -83,13 +83,14 @@
 // retry calls call until it succeeds or ctx ends, with exponential backoff. It posts TopicFailed for each failure.
 func (r *Registrar) retry(ctx context.Context, call func(context.Context) error) error {
 	for backoff := minBackoff; ; backoff = min(2*backoff, 4*maxBackoff) {
+		startedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := call(callCtx)
 		cancel()
 		if err == nil {
 			return nil
 		}
-		r.Post(modeler.TopicFailed{Topic: modeler.Nodes, Reason: err.Error()})
+		r.Post(modeler.TopicFailed{Topic: modeler.Nodes, Reason: err.Error(), StartedAt: startedAt})
 		if err := sleep(ctx, backoff); err != nil {
 			return err
 		}
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -63,10 +63,12 @@
 		// Listed is set if Records holds the newest record of each key. FromPeer is set if another node read the records.
 		Listed, FromPeer bool
 	}
-	// TopicFailed reports that a call to the store failed.
+	// TopicFailed reports that a call to the store failed. StartedAt is the start of the call. The failure is noticed up to its time limit later, when
+	// the store may respond again.
 	TopicFailed struct {
-		Topic  Topic
-		Reason string
+		Topic     Topic
+		Reason    string
+		StartedAt time.Time
 	}
 	// QuarantinesRead carries the quarantines that the store holds.
 	QuarantinesRead struct{ Suspects []Suspect }
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -56,9 +56,8 @@
 	// changedEndpoints holds the endpoints whose assignments changed since the last call of TakeChangedEndpoints.
 	changedEndpoints map[EndpointID]struct{}
 
-	// NextOffsets holds the offset before which all records of each topic are known, and FailedAt the time of the last failed call.
+	// NextOffsets holds the offset before which all records of each topic are known.
 	NextOffsets [3]int64
-	FailedAt    [3]time.Time
 	// ConfirmedAt is when this node's state of Operators and Endpoints was last confirmed as current, by its own read or another node's.
 	ConfirmedAt [2]time.Time
 	// ReadPositions holds this node's read positions in Operators and Endpoints, as sent to other nodes.
