Ignore signs of life from before a pause of the process

What callers saw: a coordinator froze, another node was lost meanwhile, and when the coordinator resumed all nodes named the lost one again for up to 3 s (DRAIN).

Cause: datagrams that have waited in the socket of a paused process are read as new. The coordinator took the heartbeats of the lost node for signs of life and reported it to all nodes.

Evidence: TestPausedNode, 3 of 4 cases fail before ("n05 names n08 100ms after the pause").

Change: World.BeginTick notices a pause by the time between two ticks. For 0.3 s after it, messages and digests are no signs of life. The node goes on naming the nodes that were live before the pause for 1.5 s, but does not report them to others. It works because all that has waited is read in the first ticks, and a live node sends again at once.

Suspended machines, whose steady clock stops, are not covered.

--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -34,7 +34,8 @@
 
 // digest returns the digest that the coordinator sends to all nodes.
 func (s *System) digest(now time.Time, world *modeler.World) *modeler.Digest {
-	alive := Alive(world, now)
+	// Nodes that are only assumed to be alive are not reported.
+	alive := slices.DeleteFunc(Alive(world, now), func(node modeler.Node) bool { return node.ID != world.Self.ID && !Live(node, now) })
 	digest := &modeler.Digest{}
 	for _, node := range s.digestNodes(alive) {
 		digest.Alive = append(digest.Alive, modeler.ReportedNode{Node: node, Age: messageAge(now, world, node)})
@@ -147,14 +148,22 @@
 	return kept
 }
 
-// applyDigest records the nodes that a digest reports as alive.
+// applyDigest records the nodes that a digest reports as alive. A digest that may be from before a pause shows only that the nodes exist.
 func (s *System) applyDigest(now time.Time, world *modeler.World, digest modeler.Digest) {
+	stale := world.ReceivesStaleMessages(now)
 	for _, report := range digest.Alive {
 		mergeNode(world, report.Node)
 		if known, ok := world.Nodes.Get(report.Node.ID); ok && known.Incarnation == report.Node.Incarnation {
-			world.Nodes.Put(known.ID, known.WithReported(now.Add(-report.Age)).WithLeaving(known.Leaving || report.Node.Leaving))
+			known = known.WithLeaving(known.Leaving || report.Node.Leaving)
+			if !stale {
+				known = known.WithReported(now.Add(-report.Age))
+			}
+			world.Nodes.Put(known.ID, known)
 		}
 	}
+	if stale {
+		return
+	}
 	ages := make(map[int64]time.Duration, len(digest.AliveRanks))
 	for _, report := range digest.AliveRanks {
 		ages[report.Rank] = report.Age
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -25,6 +25,9 @@
 	// reportTimeout is the time without messages after which a node counts as dead that only other nodes receive messages from. It is longer than
 	// nodeTimeout by a heartbeat and its delay, since a report is that old when the coordinator sends it.
 	reportTimeout = 3 * time.Second
+	// assumedTime is the time after a pause within which a node receives a digest: the interval of digests, and the time in which digests from before
+	// the pause may arrive.
+	assumedTime = 1500 * time.Millisecond
 	// hubCount is the number of hubs: the nodes that precede all others, which send hellos to all others. The other nodes send hellos only to the
 	// hubs, so that the number of messages grows with the number of nodes and not with its square.
 	hubCount = 6
@@ -62,6 +65,9 @@
 
 // Run implements modeler.System.
 func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
+	if pausedAt, ok := world.Resumed(); ok {
+		assumeAlive(tick.Now, world, pausedAt)
+	}
 	for _, event := range tick.Events {
 		switch e := event.(type) {
 		case modeler.SelfRegistered:
@@ -87,6 +93,15 @@
 	s.beat(tick, world)
 }
 
+// assumeAlive lets callers use the nodes that were live before a pause until this node has received a digest. It would otherwise name only itself.
+func assumeAlive(now time.Time, world *modeler.World, pausedAt time.Time) {
+	for id, node := range world.Nodes.All() {
+		if Live(node, pausedAt) {
+			world.Nodes.Put(id, node.WithAssumed(now.Add(assumedTime)))
+		}
+	}
+}
+
 // mergeNode adds a node, or replaces a known node by a newer incarnation. It reports whether the table changed.
 func mergeNode(world *modeler.World, node modeler.Node) bool {
 	if node.ID == world.Self.ID || node.ID == "" {
@@ -125,7 +140,7 @@
 		}
 	}
 	known, ok := world.Nodes.Get(message.From)
-	if !ok || known.Incarnation != message.Incarnation {
+	if !ok || known.Incarnation != message.Incarnation || world.ReceivesStaleMessages(tick.Now) {
 		return
 	}
 	world.Nodes.Put(message.From, known.WithLastSeen(tick.Now))
@@ -340,15 +355,15 @@
 	return world.Message(body)
 }
 
-// Alive returns the nodes that callers may use, ordered by id: this node and the nodes for which Live reports true, without those that are
-// leaving.
+// Alive returns the nodes that callers may use, ordered by id: this node and the nodes for which Live reports true or that are assumed to be alive,
+// without those that are leaving.
 func Alive(world *modeler.World, now time.Time) []modeler.Node {
 	var alive []modeler.Node
 	if !world.Self.Leaving {
 		alive = append(alive, world.Self)
 	}
 	for _, node := range world.Nodes.All() {
-		if !node.Leaving && Live(node, now) {
+		if !node.Leaving && (Live(node, now) || now.Before(node.AssumedUntil)) {
 			alive = append(alive, node)
 		}
 	}
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -17,10 +17,11 @@
 	worlds  map[modeler.NodeID]*modeler.World
 	systems map[modeler.NodeID]*elector.System
 	inbox   map[modeler.NodeID][]modeler.Event
-	// dead nodes do nothing. cut reports whether messages between two nodes are lost.
-	dead map[modeler.NodeID]bool
-	cut  func(from, to modeler.NodeID) bool
-	sent int
+	// dead nodes do nothing. paused nodes do nothing until they resume, and then receive the messages that were sent to them. cut reports whether
+	// messages between two nodes are lost.
+	dead, paused map[modeler.NodeID]bool
+	cut          func(from, to modeler.NodeID) bool
+	sent         int
 }
 
 // step is the time between two ticks. It is shorter than any interval of the elector.
@@ -29,7 +30,7 @@
 func newFleet(size int) *fleet {
 	f := &fleet{
 		now: time.Unix(1000, 0), worlds: map[modeler.NodeID]*modeler.World{}, systems: map[modeler.NodeID]*elector.System{},
-		inbox: map[modeler.NodeID][]modeler.Event{}, dead: map[modeler.NodeID]bool{}, cut: func(_, _ modeler.NodeID) bool { return false },
+		inbox: map[modeler.NodeID][]modeler.Event{}, dead: map[modeler.NodeID]bool{}, paused: map[modeler.NodeID]bool{}, cut: func(_, _ modeler.NodeID) bool { return false },
 	}
 	for i := range size {
 		f.start(name(i), int64(i), 1)
@@ -56,11 +57,12 @@
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
 		deliveries := map[modeler.NodeID][]modeler.Event{}
 		for id, system := range f.systems {
-			if f.dead[id] {
+			if f.dead[id] || f.paused[id] {
 				continue
 			}
 			tick := &modeler.Tick{Now: f.now, Events: f.inbox[id]}
 			f.inbox[id] = nil
+			f.worlds[id].BeginTick(f.now)
 			system.Run(tick, f.worlds[id])
 			for _, effect := range tick.Effects() {
 				if send, ok := effect.(modeler.Send); ok {
--- a/internal/fleet/modeler/node.go
+++ b/internal/fleet/modeler/node.go
@@ -27,6 +27,9 @@
 	// ReportedAt is when another node received the last message from the node that digests have reported. It is not the time of the digest:
 	// each coordinator that repeats a report would otherwise renew it.
 	ReportedAt time.Time
+	// AssumedUntil is until when callers may use the node although no message shows that it is alive: it was alive when this process was paused.
+	// Other nodes are not told.
+	AssumedUntil time.Time
 	// Leaving is set if the node is shutting down and accepts no new callers.
 	Leaving bool
 	// Coordinates is set if Coordinates was set in the node's last heartbeat. Such a node sends heartbeats at short intervals.
@@ -51,6 +54,12 @@
 	return n
 }
 
+// WithAssumed returns the node with AssumedUntil set to the given time.
+func (n Node) WithAssumed(until time.Time) Node {
+	n.AssumedUntil = until
+	return n
+}
+
 // AliveAt returns the time of the last message from the node that this node or, according to digests, another one has received.
 func (n Node) AliveAt() time.Time {
 	if n.ReportedAt.After(n.LastSeenAt) {
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -64,6 +64,9 @@
 	ReadPositions [2]ReadPosition
 	// IsHub is set if this node is one of the hubs, see package elector.
 	IsHub bool
+	// tickedAt is when the current tick began. resumedAt is when the first tick after the last pause of this process began, and pausedAt when the
+	// last one before it did; both are zero if there was none.
+	tickedAt, pausedAt, resumedAt time.Time
 	// ReadsForAll is set while this node reads the store and distributes the changes to all nodes.
 	ReadsForAll bool
 }
@@ -92,6 +95,30 @@
 	}
 }
 
+// minPause is the time between two ticks from which on this process counts as paused. Ticks run every 250 ms at least.
+const minPause = time.Second
+
+// BeginTick records that a tick begins. It must be called before the systems run.
+func (w *World) BeginTick(now time.Time) {
+	if !w.tickedAt.IsZero() && now.Sub(w.tickedAt) >= minPause {
+		w.pausedAt, w.resumedAt = w.tickedAt, now
+	}
+	w.tickedAt = now
+}
+
+// Resumed reports whether the current tick is the first one after a pause of this process, and when the last one before the pause began.
+func (w *World) Resumed() (pausedAt time.Time, ok bool) {
+	return w.pausedAt, !w.resumedAt.IsZero() && w.resumedAt.Equal(w.tickedAt)
+}
+
+// staleMessageTime is the time after a pause in which this process receives the messages that have waited in its socket.
+const staleMessageTime = 300 * time.Millisecond
+
+// ReceivesStaleMessages reports whether messages that arrive now may be from before or during a pause of this process.
+func (w *World) ReceivesStaleMessages(now time.Time) bool {
+	return !w.resumedAt.IsZero() && now.Sub(w.resumedAt) < staleMessageTime
+}
+
 // Coordinates reports whether this node coordinates placement for all nodes.
 func (w *World) Coordinates() bool { return w.Coordinator == w.Self.ID }
 
--- a/internal/fleet/runner/loop.go
+++ b/internal/fleet/runner/loop.go
@@ -121,6 +121,7 @@
 		}
 		tick.Events = append(tick.Events, e.event)
 	}
+	l.world.BeginTick(tick.Now)
 	for _, system := range l.options.Systems {
 		system.Run(tick, l.world)
 	}
