Keep at most 64 KiB of an answer in memory

What callers see: an endpoint that sends bytes without end on many requests at once uses up the memory of a node; the platform ends the process, and the requests of other callers end with it. Reported by another operator; it can happen here.

Cause: a whole answer and an event of a stream were kept up to 8 MiB each, with a buffer that grows by doubling. The bound is for one request.

Change: answers that are no streams are kept up to 64 KiB and passed on as they arrive from there, up to 8 MiB as before. One that breaks off then ends the connection to the caller and is not repeated. Events have at most 256 KiB. A stated length over 8 MiB fails at once.

This works because the memory of a request no longer depends on what the endpoint sends, apart from one event.

--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -123,6 +123,8 @@
 	StatusCode int
 	Header     http.Header
 	Body       io.Reader
+	// Length is the length of the body in bytes, or -1 if it is not stated.
+	Length int64
 	// Unframed is set if the body has neither a length nor chunks. Its end is then the end of the connection.
 	Unframed bool
 }
@@ -150,7 +152,8 @@
 		if own(response.Header) {
 			x.response = response
 			return &Response{
-				StatusCode: response.StatusCode, Header: response.Header, Body: response.Body, Unframed: isUnframed(response),
+				StatusCode: response.StatusCode, Header: response.Header, Body: response.Body, Length: response.ContentLength,
+				Unframed: isUnframed(response),
 			}, nil
 		}
 		if foreign++; foreign > maxForeignResponses {
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is not a stream, which is buffered in memory until it is complete, and one event of a stream.
+	// maxBufferedBytes bounds the part of an answer that is kept until the answer is complete. With a limit of 8 MB, 48 endless answers at a time
+	// took 800 MB.
+	maxBufferedBytes = 64 << 10
+	// maxAnswerBytes bounds an answer that is not a stream. Bytes that are no answer may come without end.
 	maxAnswerBytes = 8 << 20
+	// maxEventBytes bounds one event of a stream, which is kept until it is complete.
+	maxEventBytes = 256 << 10
 	// An engine counts as silent after the stream's target, but at least minSilenceLimit, plus silenceFactor times the expected time to the
 	// first event. silenceFactor is high because sending a long prompt twice costs more than waiting for an engine that has failed.
 	silenceFactor = 1.5
@@ -208,17 +213,25 @@
 	return f.classifyError(ctx, p, err, modeler.Broken)
 }
 
-// forwardWhole forwards an answer that is not a stream after reading it completely.
+// forwardWhole forwards an answer that is not a stream after reading it completely, or as it arrives if it is longer than maxBufferedBytes.
 func (f *Forwarder) forwardWhole(ctx context.Context, p *progress, guard *silenceGuard, response *dialer.Response, sink Sink) (modeler.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
+	if response.Length > maxAnswerBytes {
+		f.countPossibleRun(p)
+		return modeler.Garbled, false
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	if err != nil {
 		f.countPossibleRun(p)
 		return f.classifyReadError(ctx, p, guard, err), false
 	}
-	if impliesNotRun(response.StatusCode) {
-		// These statuses promise callers that the request did not run, but the endpoint did not state that.
+	long := len(body) > maxBufferedBytes
+	if impliesNotRun(response.StatusCode) || long && response.StatusCode >= http.StatusInternalServerError {
+		// The former statuses promise callers that the request did not run, but the endpoint did not state that. A long failure is not kept.
 		f.countPossibleRun(p)
-		return modeler.Failed, true
+		return modeler.Failed, !long
+	}
+	if long {
+		return f.forwardLong(ctx, p, guard, response, body, sink)
 	}
 	answer := &answer{status: response.StatusCode, header: endToEndHeader(response.Header), body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
--- a/internal/fleet/forwarder/event.go
+++ b/internal/fleet/forwarder/event.go
@@ -6,7 +6,7 @@
 	"io"
 )
 
-// errTruncatedEvent reports a stream that ended inside an event, or an event that is larger than maxAnswerBytes.
+// errTruncatedEvent reports a stream that ended inside an event, or an event that is larger than maxEventBytes.
 var errTruncatedEvent = errors.New("stream ended inside an event")
 
 // errNoEvent reports bytes in a stream that are no event, such as the header of another response.
@@ -53,7 +53,7 @@
 }
 
 // next returns the next event, whose data is valid until the next call. It returns io.EOF at the end of the stream, errTruncatedEvent if the
-// stream ends inside an event or the event is larger than maxAnswerBytes, and errNoEvent for bytes that are no event.
+// stream ends inside an event or the event is larger than maxEventBytes, and errNoEvent for bytes that are no event.
 func (r *eventReader) next() (event, error) {
 	for {
 		if r.buffered() {
@@ -67,7 +67,7 @@
 			r.start = 0
 		}
 		if r.end == len(r.buffer) {
-			if len(r.buffer) >= maxAnswerBytes {
+			if len(r.buffer) >= maxEventBytes {
 				return event{}, errTruncatedEvent
 			}
 			r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -165,6 +165,8 @@
 	lastEventAt time.Time
 	// brokeBefore is set once an attempt broke.
 	brokeBefore bool
+	// longBegun is set once a part of an answer that is no stream was forwarded. No other answer can follow it.
+	longBegun bool
 	// headerSent is set once the header of an answer was forwarded. streamStatus and streamType are the status and the media type of a stream then.
 	headerSent   bool
 	streamStatus int
@@ -217,7 +219,7 @@
 		outcome := f.attempt(ctx, p, decision.Plan, sink)
 		p.result.Last = outcome
 		p.brokeBefore = p.brokeBefore || outcome == modeler.Broken
-		if outcome == modeler.Answered || outcome == modeler.Abandoned {
+		if outcome == modeler.Answered || outcome == modeler.Abandoned || p.longBegun {
 			return
 		}
 		if p.faultyHelper != "" {
--- a/internal/proof/soaker/deployment_test.go
+++ b/internal/proof/soaker/deployment_test.go
@@ -65,6 +65,9 @@
 	exitCode int
 }
 
+// memoryLimit is the memory limit in the settings of the nodes, in bytes.
+const memoryLimit = 200e6
+
 // graceSeconds is the grace period in the settings of the nodes.
 const graceSeconds = 4
 
@@ -143,7 +146,7 @@
 	settings := loader.Settings{
 		Node:   loader.Node{Name: name, IP: "127.0.0.1", DataCentre: fmt.Sprintf("dc-%d", i%3), Region: "r"},
 		Listen: loader.Listen{Callers: in.callerAddress, Ready: in.readyAddress, Addresses: freeAddress(t), PeerPorts: []int{freePort(t), 65535}},
-		Store:  loader.Store{Address: in.storeLink.address()}, Limits: loader.Limits{MemoryMB: 200},
+		Store:  loader.Store{Address: in.storeLink.address()}, Limits: loader.Limits{MemoryMB: memoryLimit / 1e6},
 		Bounds: loader.Bounds{
 			GraceSeconds: graceSeconds, RetryBudgetRatio: 0.2, RetryBudgetSlack: 100, BudgetWindowSeconds: 10, ColdFactor: 1.5, ColdSlack: 5,
 		},
