End the limit of a drain once the server has found a request

Cause: a drain limits the wait of an idle connection by a read deadline, which was lifted by the first byte read or by the handler of the request. With a request in the server's buffer there is no read, and before the handler runs, the server reads ahead in the background. If the limit passes in between, that read fails and cancels the request.

Change: the server sets one read deadline for the wait and another one as soon as it has found the first bytes of a request. The second one ends the limit, which is before the background read starts.

--- a/internal/web/drainer/conn.go
+++ b/internal/web/drainer/conn.go
@@ -13,13 +13,26 @@
 	net.Conn
 	drainer *Drainer
 
-	mu sync.Mutex
-	// waiting is set until the first byte of a request was read.
-	waiting bool
+	mu    sync.Mutex
+	phase phase
 	// deadline is the read deadline that the server has set. An earlier one may be in force while the connection is waiting.
 	deadline time.Time
 }
 
+// phase is what a connection does. A drain limits its wait in all phases but inRequest.
+type phase uint8
+
+const (
+	// beforeFirst is the phase until the first byte of the first request was read.
+	beforeFirst phase = iota
+	// afterAnswer is the phase from the end of an answer until the server has set the read deadline of its wait for the next request.
+	afterAnswer
+	// awaitingNext is the phase until the first byte of the next request was read, or until the server sets another read deadline: it does so once it
+	// has found the first bytes of a request, which it may have read together with the request before.
+	awaitingNext
+	inRequest
+)
+
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
@@ -28,8 +41,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wasWaiting := c.waiting
-	c.waiting = false
+	wasWaiting := c.phase != inRequest
+	c.phase = inRequest
 	if !wasWaiting || !c.drainer.draining.Load() {
 		return n, err
 	}
@@ -41,6 +54,13 @@
 func (c *conn) SetReadDeadline(at time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch c.phase {
+	case afterAnswer:
+		c.phase = awaitingNext
+	case awaitingNext:
+		c.phase = inRequest
+	case beforeFirst, inRequest:
+	}
 	c.deadline = at
 	return c.applyDeadline()
 }
@@ -63,15 +83,14 @@
 func (c *conn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.phase = afterAnswer
 }
 
-// requestRead marks the connection as carrying a request. The request may have been in a buffer of the server already when the connection began to
-// wait for it.
+// requestRead marks the connection as carrying a request.
 func (c *conn) requestRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = false
+	c.phase = inRequest
 	// An error means that the connection is closed.
 	_ = c.applyDeadline()
 }
@@ -87,7 +106,7 @@
 // applyDeadline sets the read deadline of the underlying connection. The caller must hold mu.
 func (c *conn) applyDeadline() error {
 	at := c.deadline
-	if c.waiting && c.drainer.draining.Load() {
+	if c.phase != inRequest && c.drainer.draining.Load() {
 		if limit := time.Now().Add(time.Duration(c.drainer.linger.Load())); at.IsZero() || limit.Before(at) {
 			at = limit
 		}
--- a/internal/web/drainer/drainer.go
+++ b/internal/web/drainer/drainer.go
@@ -128,5 +128,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, drainer: l.drainer, waiting: true}, nil
+	return &conn{Conn: c, drainer: l.drainer}, nil
 }
--- a/internal/web/drainer/drainer_test.go
+++ b/internal/web/drainer/drainer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,6 +64,8 @@
 	// begun receives a value when the handler has sent the header of an answer. The answer repeats the request's body once finish is closed.
 	begun  chan struct{}
 	finish chan struct{}
+	// delay is the time between the start of a request's goroutine and the drainer's handler, as on a machine with little processor time.
+	delay atomic.Int64
 	// ended is closed once Serve has returned.
 	ended    chan struct{}
 	listener net.Listener
@@ -76,8 +79,13 @@
 	inner, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.listener = s.drainer.Listener(countingListener{inner, s.reads, s.resume})
+	drained := s.drainer.Handler(http.HandlerFunc(s.serve))
+	delayed := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Duration(s.delay.Load()))
+		drained.ServeHTTP(w, r)
+	})
 	server := &http.Server{
-		Handler: s.drainer.Handler(http.HandlerFunc(s.serve)), ReadHeaderTimeout: timeout, IdleTimeout: time.Minute, ConnState: s.drainer.Track,
+		Handler: delayed, ReadHeaderTimeout: timeout, IdleTimeout: time.Minute, ConnState: s.drainer.Track,
 		ConnContext: s.drainer.ConnContext,
 	}
 	go func() {
@@ -245,6 +253,22 @@
 	}
 }
 
+// TestDrainDelayedRequest guards against a drain that ends a connection although the server has found the next request on it, because the limit of the
+// wait for that request is in force until its handler runs.
+func TestDrainDelayedRequest(t *testing.T) {
+	s := newTestServer(t)
+	close(s.resume)
+	s.send(t, get+strings.Replace(get, "/", slowPath, 1))
+	<-s.begun
+	s.delay.Store(int64(slowTime))
+	s.stopAccepting(t, 0)
+	close(s.finish)
+	for range 2 {
+		body, _ := s.receive(t)
+		assert.Equal(t, body, "body ")
+	}
+}
+
 // TestDrainDeadline guards against a drain that waits for a request past the end of its context.
 func TestDrainDeadline(t *testing.T) {
 	s := newTestServer(t)
