--- a/internal/proof/soaker/endless_test.go
+++ b/internal/proof/soaker/endless_test.go
@@ -42,14 +42,14 @@
 }
 
 // serve sends the answer until the node closes the connection.
-func (a endlessAnswer) serve(conn net.Conn, request *http.Request) {
+func (a endlessAnswer) serve(conn net.Conn, request *http.Request) bool {
 	if _, err := fmt.Fprintf(conn, a.begin, request.Header.Get("Request-Id")); err != nil {
-		return
+		return false
 	}
 	piece := bytes.Repeat([]byte(a.repeated), 1+endlessPiece/len(a.repeated))
 	for {
 		if _, err := conn.Write(piece); err != nil {
-			return
+			return false
 		}
 		pause(endlessPause)
 	}
--- a/internal/proof/soaker/kept_callers_test.go
+++ b/internal/proof/soaker/kept_callers_test.go
@@ -148,7 +148,7 @@
 	if _, err := conn.Write(data.Bytes()); err == nil {
 		a.written = time.Now()
 	}
-	closes := c.readAnswer(request, &a)
+	closes := readAnswer(c.reader, request, &a)
 	a.ended = time.Now()
 	if closes {
 		c.disconnect()
@@ -157,8 +157,8 @@
 }
 
 // readAnswer reads the answer into the attempt and reports whether the connection cannot be used for another request.
-func (c *keptCaller) readAnswer(request *http.Request, a *attempt) bool {
-	response, err := http.ReadResponse(c.reader, request)
+func readAnswer(reader *bufio.Reader, request *http.Request, a *attempt) bool {
+	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return true
 	}
--- a/internal/proof/soaker/long_answers_test.go
+++ b/internal/proof/soaker/long_answers_test.go
@@ -27,7 +27,7 @@
 
 // answerLong answers with a body of the length in the query, in the framing that it names, and closes after the number of bytes of the body that it
 // names.
-func answerLong(conn net.Conn, request *http.Request) {
+func answerLong(conn net.Conn, request *http.Request) bool {
 	query := request.URL.Query()
 	length, _ := strconv.Atoi(query.Get("length"))
 	cut, _ := strconv.Atoi(query.Get("cut"))
@@ -44,6 +44,7 @@
 	default:
 		_, _ = fmt.Fprintf(conn, "\r\n%s", body)
 	}
+	return false
 }
 
 // TestLongAnswers guards against long answers that are changed, cut or kept from the caller, and against ones that break off and look complete.
--- a/internal/proof/soaker/raw_endpoint_test.go
+++ b/internal/proof/soaker/raw_endpoint_test.go
@@ -15,9 +15,11 @@
 	"damaskpick.example/damaskpick/platform/platformtest"
 )
 
-// startRawEndpoint starts an endpoint with an entry for a service that writes the bytes of its answers itself. answer is called after a request was read,
-// and the connection is closed when it returns.
-func startRawEndpoint(t *testing.T, d *deployment, id, service string, answer func(conn net.Conn, request *http.Request)) {
+// rawAnswer writes the bytes of the answer to a request and reports whether the connection can carry another one. It is closed otherwise.
+type rawAnswer func(conn net.Conn, request *http.Request) (kept bool)
+
+// startRawEndpoint starts an endpoint with an entry for a service that writes the bytes of its answers itself.
+func startRawEndpoint(t *testing.T, d *deployment, id, service string, answer rawAnswer) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -26,12 +28,15 @@
 	serve := func(conn net.Conn) {
 		defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 		defer func() { _ = conn.Close() }()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
+		for reader := bufio.NewReader(conn); ; {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil || !answer(conn, request) {
+				return
+			}
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		answer(conn, request)
 	}
 	serving.Go(func() {
 		for {
