Split the test of answers that break off

Cause: TestCutAnswers had its calls, checks and cases in one function.

Change: the callers and the run of one case are separate. It also checks that each request gets an answer or a part of one.

--- a/internal/proof/soaker/cut_answers_test.go
+++ b/internal/proof/soaker/cut_answers_test.go
@@ -1,7 +1,9 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -80,9 +82,42 @@
 	return body.String()
 }
 
+// cutCaller sends requests whose answers are cut after each of their bytes.
+type cutCaller struct {
+	deployment  *deployment
+	path        string
+	query       url.Values
+	mu          sync.Mutex
+	codes       map[int]int
+	wrongBodies []string
+}
+
+// run sends a request for each cut from cuts, on kept connections.
+func (c *cutCaller) run(ctx context.Context, cuts <-chan int) {
+	caller := &keptCaller{keptCallers: &keptCallers{deployment: c.deployment}}
+	defer caller.disconnect()
+	for cut := range cuts {
+		if !caller.connect() {
+			c.record(attempt{}, cut)
+			continue
+		}
+		query := url.Values{"cut": {strconv.Itoa(cut)}}
+		maps.Copy(query, c.query)
+		c.record(caller.call(ctx, c.path+"?"+query.Encode(), fmt.Sprintf("cut-%04d", cut)), cut)
+	}
+}
+
+func (c *cutCaller) record(a attempt, cut int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.codes[a.code]++
+	if a.complete && a.code == http.StatusOK && a.body != wholeBody(c.query, 0) {
+		c.wrongBodies = append(c.wrongBodies, fmt.Sprintf("cut after %d bytes: %q", cut, a.body))
+	}
+}
+
 // TestCutAnswers guards against an answer that breaks off after any of its bytes, in its head too, and reaches the caller as a whole one.
 func TestCutAnswers(t *testing.T) {
-	const workers = 8
 	routes := []struct {
 		name, path string
 		stream     bool
@@ -100,14 +135,6 @@
 			for _, closes := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%s/closes=%t", route.name, framing, closes), func(t *testing.T) {
 					t.Parallel()
-					d := newDeployment(t, options{nodes: 1, slots: 8, work: 10 * time.Millisecond, callTimeout: 2 * time.Second})
-					answers := newCutAnswers()
-					for i, e := range d.endpoints {
-						d.store.Put(platform.TopicEndpoints, e.ID, nil)
-						startRawEndpoint(t, d, fmt.Sprintf("raw-%d", i), e.Service, answers.answer)
-					}
-					awaitReady(t, d)
-					pause(time.Second)
 					query := url.Values{"framing": {framing}, "times": {strconv.Itoa(route.times)}}
 					if route.stream {
 						query.Set("stream", "1")
@@ -115,47 +142,43 @@
 					if closes {
 						query.Set("close", "1")
 					}
-					head, body := wholeAnswer("cut-0000", query, 0)
-					most := len(head + body)
-					if framing == "end" {
-						// From there on, the end of the connection is the end of the answer, unless it is inside an event.
-						most = len(head)
-					}
-					cuts := make(chan int)
-					var calling sync.WaitGroup
-					var mu sync.Mutex
-					codes := map[int]int{}
-					for range workers {
-						calling.Go(func() {
-							c := &keptCaller{keptCallers: &keptCallers{deployment: d}}
-							defer c.disconnect()
-							for cut := range cuts {
-								if !c.connect() {
-									t.Error("the node refuses connections")
-									continue
-								}
-								own := url.Values{"cut": {strconv.Itoa(cut)}}
-								for name, values := range query {
-									own[name] = values
-								}
-								a := c.call(t.Context(), route.path+"?"+own.Encode(), fmt.Sprintf("cut-%04d", cut))
-								mu.Lock()
-								codes[a.code]++
-								mu.Unlock()
-								if a.complete && a.code == http.StatusOK {
-									assert.Check(t, a.body == wholeBody(query, 0), "cut after %d of %d bytes, the caller got %q", cut, most, a.body)
-								}
-							}
-						})
-					}
-					for cut := range most {
-						cuts <- cut
-					}
-					close(cuts)
-					calling.Wait()
-					t.Logf("cuts=%d codes=%v", most, codes)
+					testCuts(t, route.path, query)
 				})
 			}
 		}
 	}
 }
+
+// testCuts starts a node whose endpoints all cut their answers, and sends one request for each byte of the answer to the query.
+func testCuts(t *testing.T, path string, query url.Values) {
+	t.Helper()
+	const workers = 8
+	d := newDeployment(t, options{nodes: 1, slots: 8, work: 10 * time.Millisecond, callTimeout: 2 * time.Second})
+	answers := newCutAnswers()
+	for i, e := range d.endpoints {
+		d.store.Put(platform.TopicEndpoints, e.ID, nil)
+		startRawEndpoint(t, d, fmt.Sprintf("raw-%d", i), e.Service, answers.answer)
+	}
+	awaitReady(t, d)
+	pause(time.Second)
+	head, body := wholeAnswer("cut-0000", query, 0)
+	most := len(head + body)
+	if query.Get("framing") == "end" {
+		// From there on, the end of the connection is the end of the answer, unless it is inside an event.
+		most = len(head)
+	}
+	caller := &cutCaller{deployment: d, path: path, query: query, codes: map[int]int{}}
+	cuts := make(chan int)
+	var calling sync.WaitGroup
+	for range workers {
+		calling.Go(func() { caller.run(t.Context(), cuts) })
+	}
+	for cut := range most {
+		cuts <- cut
+	}
+	close(cuts)
+	calling.Wait()
+	t.Logf("cuts=%d codes=%v", most, caller.codes)
+	assert.Check(t, len(caller.wrongBodies) == 0, "callers got wrong answers: %v", caller.wrongBodies)
+	assert.Check(t, caller.codes[0] == 0, "%d requests got no answer", caller.codes[0])
+}
