Correct the comment on the length that a Sink gets

Cause: since long answers are forwarded as they arrive, the length may be unknown for answers that are no streams.

Change: the comment on Sink.Begin says so. No code changes.

--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -31,7 +31,7 @@
 
 // Sink receives the answer to the caller.
 type Sink interface {
-	// Begin sends the status and the header. length is the size of the body in bytes, or -1 for a stream.
+	// Begin sends the status and the header. length is the size of the body in bytes, or -1 if it is not known, as for a stream.
 	Begin(status int, header http.Header, length int) error
 	Write(data []byte) (int, error)
 	Flush() error
