Log how each report of a broken attempt is counted

Cause: the logs did not say why a broken attempt is left out of the count of its request, so that a wrong order of reports, a lost report and a forgotten count looked the same.

Change: the node that decides on quarantines writes BrokenAttemptReported for each report, with the distance between the placement and the end of the last counted attempt. Unresolved attempts keep the node that reported them.

--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -61,6 +61,8 @@
 	LogEventPlaceRefused LogEventName = "PlaceRefused"
 	// LogEventAttemptBroken: Request, Endpoint, Age, FirstEvent, Fingerprint, SharedParts, Count.
 	LogEventAttemptBroken LogEventName = "AttemptBroken"
+	// LogEventBrokenAttemptReported: Request, Node, Endpoint, Fingerprint, SharedPart, Counted, Count, SinceLast.
+	LogEventBrokenAttemptReported LogEventName = "BrokenAttemptReported"
 	// LogEventAttemptRepeated: Request, Attempt, Outcome, Endpoint, Age.
 	LogEventAttemptRepeated LogEventName = "AttemptRepeated"
 	// LogEventRequestEnded: Request, Route, Status, Code, Endpoint, Helpers, Attempts, Last, Prompt, Output, First, Pause, Took, Late, Reason,
@@ -77,5 +79,6 @@
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
 	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
 	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable,
-	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventAttemptRepeated, LogEventRequestEnded, LogEventRequestRejected,
+	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAttemptRepeated, LogEventRequestEnded,
+	LogEventRequestRejected,
 }
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -95,12 +95,13 @@
 	return modeler.Fingerprint(xxhash.Sum64String(callerID))
 }
 
-// countBroken counts an attempt that broke at a given time for a fingerprint of its request or of a shared part.
+// countBroken counts an attempt of a node that broke at a given time for a fingerprint of its request or of a shared part.
 func countBroken[P quarantinePolicy](
-	tick *modeler.Tick, world *modeler.World, policy P, fingerprint modeler.Fingerprint, e modeler.Ended, at time.Time,
+	tick *modeler.Tick, world *modeler.World, policy P, fingerprint modeler.Fingerprint, from modeler.NodeID, e modeler.Ended, at time.Time,
 ) {
 	before, _ := world.BrokenAttempts.Get(fingerprint)
 	after, counts := policy.with(before, e, at.Add(-e.Age), at)
+	logReport(tick, world, before, after, fingerprint, from, e, at)
 	if !counts {
 		return
 	}
@@ -133,6 +134,22 @@
 	}
 }
 
+// logReport emits a log event for a reported attempt if this node decides on quarantines. SinceLast is the time from the end of the last counted
+// attempt to the placement of this one; both overlap if it is negative.
+func logReport(
+	tick *modeler.Tick, world *modeler.World, before, after modeler.BrokenAttempts, fingerprint modeler.Fingerprint, from modeler.NodeID, e modeler.Ended, at time.Time,
+) {
+	fields := []modeler.LogField{
+		{Key: "Node", Value: string(from)}, {Key: "Endpoint", Value: string(e.Endpoint)},
+		{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{fingerprint})}, {Key: "SharedPart", Value: after.SharedPart},
+		{Key: "Counted", Value: after.Count > before.Count}, {Key: "Count", Value: after.Count},
+	}
+	if before.Count > 0 {
+		fields = append(fields, modeler.LogField{Key: "SinceLast", Value: at.Add(-e.Age).Sub(before.At)})
+	}
+	logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventBrokenAttemptReported, Request: e.ID, Fields: fields})
+}
+
 // places reports whether this node places its requests for engines itself, so that it decides on quarantines. What other nodes count from their own
 // attempts is known to the node that places for them.
 func places(world *modeler.World, now time.Time) bool {
@@ -164,7 +181,7 @@
 }
 
 // recordOutcome counts a broken attempt for its request and for the shared parts of its prompt, or removes the counts that its outcome refutes.
-func recordOutcome(tick *modeler.Tick, world *modeler.World, e modeler.Ended) {
+func recordOutcome(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, e modeler.Ended) {
 	if e.Outcome == modeler.Answered && e.Survived {
 		// An endpoint has run the request, so that earlier attempts ended for another reason.
 		world.UnresolvedAttempts.Delete(e.Fingerprint)
@@ -173,13 +190,13 @@
 		}
 	}
 	if e.Outcome == modeler.Broken && e.Fingerprint != modeler.NoFingerprint {
-		countBroken(tick, world, requestPolicy{}, e.Fingerprint, e, tick.Now)
+		countBroken(tick, world, requestPolicy{}, e.Fingerprint, from, e, tick.Now)
 	}
 	for _, part := range e.SharedParts {
 		if e.Survived {
 			clearPart(tick, world, part, e.ID, tick.Now.Add(-e.Age))
 		} else if e.Outcome == modeler.Broken {
-			countBroken(tick, world, partPolicy{}, part, e, tick.Now)
+			countBroken(tick, world, partPolicy{}, part, from, e, tick.Now)
 		}
 	}
 }
--- a/internal/fleet/watcher/unresolved.go
+++ b/internal/fleet/watcher/unresolved.go
@@ -19,7 +19,7 @@
 
 // recordUnresolved keeps an attempt that ended without an answer and without a broken connection: behind a cut, or when the host of the endpoint has
 // failed, nothing else shows that the endpoint has ended.
-func recordUnresolved(tick *modeler.Tick, world *modeler.World, a modeler.Assignment, e modeler.Ended) {
+func recordUnresolved(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, a modeler.Assignment, e modeler.Ended) {
 	switch e.Outcome {
 	case modeler.Silent, modeler.Abandoned, modeler.Garbled:
 	default:
@@ -30,7 +30,7 @@
 		return
 	}
 	e.SharedParts, e.Age = a.Request.SharedParts, tick.Now.Sub(a.Placed)
-	attempt := modeler.UnresolvedAttempt{Ended: e, StartUnixMilli: endpoint.StartUnixMilli, EndedAt: tick.Now}
+	attempt := modeler.UnresolvedAttempt{Ended: e, From: from, StartUnixMilli: endpoint.StartUnixMilli, EndedAt: tick.Now}
 	if e.Fingerprint != modeler.NoFingerprint {
 		putUnresolved(world, e.Fingerprint, false, attempt)
 	}
@@ -65,9 +65,9 @@
 				return tick.Now.Sub(attempt.EndedAt) >= unresolvedRetention
 			}
 			if row.SharedPart {
-				countBroken(tick, world, partPolicy{}, fingerprint, attempt.Ended, attempt.EndedAt)
+				countBroken(tick, world, partPolicy{}, fingerprint, attempt.From, attempt.Ended, attempt.EndedAt)
 			} else {
-				countBroken(tick, world, requestPolicy{}, fingerprint, attempt.Ended, attempt.EndedAt)
+				countBroken(tick, world, requestPolicy{}, fingerprint, attempt.From, attempt.Ended, attempt.EndedAt)
 			}
 			return true
 		})
