--- a/internal/proof/loadtester/fleet_test.go
+++ b/internal/proof/loadtester/fleet_test.go
@@ -82,6 +82,10 @@
 	// sheds counts the attempts that an engine refused because it had no free slot, refusals those that the nodes refused.
 	sheds, refusals, attempts int
 	outcomes                  []*outcome
+	// delay returns the delay of a message between two nodes, or between a node and an endpoint. lost and doubled are the shares of the messages between
+	// nodes that are lost, and that come again some time later.
+	delay         func() time.Duration
+	lost, doubled float64
 }
 
 const dataCentres = 3
@@ -95,7 +99,7 @@
 	begin := time.Unix(1_000_000, 0)
 	f := &fleet{
 		site: s, seed: seed, clock: &clock{now: begin}, byID: map[modeler.EndpointID]*engine{}, nodes: map[modeler.NodeID]*node{},
-		random: rand.New(rand.NewPCG(seed, 1<<32)),
+		random: rand.New(rand.NewPCG(seed, 1<<32)), delay: func() time.Duration { return linkDelay },
 		service: modeler.Service{ID: "engines", ConnectionLimit: 300, Engine: modeler.EngineProfile{
 			Capacity: 405_000, Stride: s.stride, Step: 1310 * time.Microsecond, PerSequence: 917 * time.Nanosecond,
 			PerThousandContext: 2130 * time.Nanosecond, PrefillRate: 154_000, PerMillionPairs: 162 * time.Microsecond, Chunk: 2048,
@@ -141,6 +145,18 @@
 	f.clock.after(at, func() { f.nodes[id].dead = true })
 }
 
+// send delivers a message between nodes after its delay.
+func (f *fleet) send(to *node, message modeler.Message) {
+	deliver := func() { to.post(modeler.PeerReceived{Message: message}) }
+	if f.lost > 0 && f.random.Float64() < f.lost {
+		return
+	}
+	f.clock.after(f.delay(), deliver)
+	if f.doubled > 0 && f.random.Float64() < f.doubled {
+		f.clock.after(time.Duration(f.random.Float64()*float64(2*time.Second)), deliver)
+	}
+}
+
 // liveNode returns a random node that is not dead.
 func (f *fleet) liveNode() *node {
 	for {
--- a/internal/proof/loadtester/node_test.go
+++ b/internal/proof/loadtester/node_test.go
@@ -89,7 +89,7 @@
 		switch e := effect.(type) {
 		case modeler.Send:
 			if to := n.fleet.nodes[e.To.ID]; to != nil {
-				n.fleet.clock.after(linkDelay, func() { to.post(modeler.PeerReceived{Message: e.Message}) })
+				n.fleet.send(to, e.Message)
 			}
 		case modeler.Reply:
 			if waiter := n.waiters[e.ID]; waiter != nil {
