Compare attempts of one process by the clock of that process

Cause: callers saw a call that had ended three endpoints go on to more of them. Whether a broken attempt follows the last counted one was decided by comparing the arrival of one report with the placement in another report, computed from its own arrival. A repeat is placed at the moment at which the attempt before it breaks, so that a report that is under way for 0.3 ms less than the one before made the repeat seem concurrent, and it was not counted. A report that came twice counted twice.

Change: reports state when the attempt ended on the clock of the reporting process. Attempts of one process are compared by that clock, others by their arrival as before; both ways in either order, also when an attempt is recognised as broken later. Reported attempts are kept, so that a second copy of a report is ignored. Suspects in digests and heartbeats carry their age, because a count that is learned late is not new. TestEndedEvidence expects the new field in the reports of broken attempts.

--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -28,6 +28,7 @@
 			ID: modeler.RequestID(e.GetId()), Endpoint: modeler.EndpointID(e.GetEndpoint()),
 			Outcome: modeler.Outcome(min(e.GetOutcome(), uint32(modeler.Garbled))), Fingerprint: modeler.Fingerprint(e.GetFingerprint()),
 			SharedParts: decodeFingerprints(e.GetSharedParts()), Age: microseconds(e.GetAge()), Survived: e.GetSurvived(),
+			ProcessEndedAt: time.Duration(e.GetEndedAt()) * time.Microsecond,
 		}
 	case *Datagram_Beat:
 		message.Body = decodeBeat(now, body.Beat)
@@ -185,7 +186,7 @@
 		decoded = append(decoded, modeler.Suspect{
 			Fingerprint: modeler.Fingerprint(s.GetFingerprint()), Count: int(s.GetCount()), SharedPart: s.GetSharedPart(),
 			Companions: decodeFingerprints(s.GetCompanions()), Confirmed: s.GetConfirmed(), Requests: decodeFingerprints(s.GetRequests()),
-			QuarantinedFor: microseconds(s.GetQuarantinedFor()),
+			QuarantinedFor: microseconds(s.GetQuarantinedFor()), Age: microseconds(s.GetAge()),
 		})
 	}
 	return decoded
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -25,6 +25,7 @@
 		d.Body = &Datagram_Ended{Ended: &Ended{
 			Id: string(body.ID), Endpoint: string(body.Endpoint), Outcome: uint32(body.Outcome), Fingerprint: uint64(body.Fingerprint),
 			SharedParts: encodeFingerprints(body.SharedParts), Age: body.Age.Microseconds(), Survived: body.Survived,
+			EndedAt: body.ProcessEndedAt.Microseconds(),
 		}}
 	case modeler.Beat:
 		d.Body = &Datagram_Beat{Beat: encodeBeat(now, body)}
@@ -157,6 +158,7 @@
 		encoded = append(encoded, &Suspect{
 			Fingerprint: uint64(s.Fingerprint), Count: int32(s.Count), SharedPart: s.SharedPart, QuarantinedFor: s.QuarantinedFor.Microseconds(),
 			Companions: encodeFingerprints(s.Companions), Confirmed: s.Confirmed, Requests: encodeFingerprints(s.Requests),
+			Age: s.Age.Microseconds(),
 		})
 	}
 	return encoded
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -49,6 +49,7 @@
 		{"ended", modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Garbled, Fingerprint: 1<<64 - 1}},
 		{"ended with evidence", modeler.Ended{
 			ID: "r", Endpoint: "e", Outcome: modeler.Broken, SharedParts: []modeler.Fingerprint{5, 1 << 63}, Age: time.Second, Survived: true,
+			ProcessEndedAt: 90 * time.Minute,
 		}},
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithFirstEvent(now)}, ReadPositions: [2]modeler.ReadPosition{{End: 4, LastChangeEnd: 3, Age: time.Second}, {End: 9}},
@@ -69,7 +70,7 @@
 		{"digest", modeler.Digest{
 			Terms: []modeler.ReportedTerms{{Endpoint: "e", StartUnixMilli: 7, Limited: true, Age: time.Second}, {Endpoint: "f", Leaving: true}},
 			Alive: []modeler.ReportedNode{{Node: node(), Age: time.Second}}, AliveRanks: []modeler.ReportedRank{{Age: 7 * time.Millisecond}, {Rank: 1 << 40, Age: 2 * time.Second}}, Suspects: []modeler.Suspect{
-				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Confirmed: true}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}, Requests: []modeler.Fingerprint{6, 7}},
+				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Confirmed: true, Age: 5 * time.Second}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}, Requests: []modeler.Fingerprint{6, 7}},
 			},
 			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
 		}},
--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -40,6 +40,10 @@
 	// FirstAt and At are the times of the first and the last counted attempt. Repeats of a request that was counted for a shared part do not
 	// change At.
 	FirstAt, At time.Time
+	// LearnedAt is the end of the last attempt that raised Count and that only another node has counted; zero if there is none.
+	LearnedAt time.Time
+	// Attempts holds the last attempts that were reported to this node, in the order of their reports. It must not be modified.
+	Attempts []BrokenAttempt
 	// SharedPart is set for the fingerprint of a shared part.
 	SharedPart bool
 	// Companions holds the shared parts, this one among them, that all requests had which were counted for it. Any of them may be the cause. It
@@ -60,10 +64,10 @@
 	Probes   int
 }
 
-// WithBrokenAttempt returns the count after one more broken attempt. at is not before the time of the last one, except for attempts that are
-// recognised as broken later.
+// WithBrokenAttempt returns the count after one more broken attempt. at may be before the time of the last one: reports overtake each other, and some
+// attempts are recognised as broken later.
 func (b BrokenAttempts) WithBrokenAttempt(at time.Time) BrokenAttempts {
-	if b.Count == 0 {
+	if b.Count == 0 || at.Before(b.FirstAt) {
 		b.FirstAt = at
 	}
 	b.Count++
@@ -197,6 +201,8 @@
 	Confirmed bool
 	// QuarantinedFor is the rest of the quarantine; zero if there is none.
 	QuarantinedFor time.Duration
+	// Age is the time since the last counted attempt.
+	Age time.Duration
 }
 
 // Suspect returns the digest's entry for the fingerprint, or false if other nodes need not know it. Of many companions it has the last ones, which
@@ -206,6 +212,9 @@
 		Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions[max(len(b.Companions)-maxCompanions, 0):],
 		Requests: b.Requests, Confirmed: b.confirmed(),
 	}
+	if !b.At.IsZero() {
+		suspect.Age = max(now.Sub(b.At), 0)
+	}
 	if b.Quarantined(now) {
 		suspect.QuarantinedFor = b.Until.Sub(now)
 	}
@@ -216,10 +225,14 @@
 func (b BrokenAttempts) WithSuspect(suspect Suspect, now time.Time) BrokenAttempts {
 	b = b.withCompanions(suspect.Companions, !b.SharedPart)
 	if b.Count < suspect.Count {
+		at := now.Add(-suspect.Age)
 		if b.Count == 0 {
-			b.FirstAt = now
+			b.FirstAt = at
+		}
+		b.Count, b.LearnedAt = suspect.Count, at
+		if at.After(b.At) {
+			b.At = at
 		}
-		b.Count, b.At = suspect.Count, now
 	}
 	if len(b.Requests) < len(suspect.Requests) {
 		b.Requests = suspect.Requests
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -38,6 +38,9 @@
 		Age time.Duration
 		// Survived is set if the endpoint sent a whole success, or ran on for a while after the first event.
 		Survived bool
+		// ProcessEndedAt is set if the attempt broke: its end on the clock of the sender's process, see World.ProcessTime. Nodes of an earlier version
+		// leave it out.
+		ProcessEndedAt time.Duration
 	}
 	// Beat is a heartbeat: the node's registration data, the requests that it runs, and its read positions in the store.
 	Beat struct {
--- a/internal/fleet/modeler/unresolved_attempt.go
+++ b/internal/fleet/modeler/unresolved_attempt.go
@@ -21,8 +21,9 @@
 type UnresolvedAttempt struct {
 	// Ended is the report of the attempt. SharedParts and Age are set whatever its outcome.
 	Ended Ended
-	// From is the node that reported the attempt.
-	From NodeID
+	// From is the node that reported the attempt, and Process the incarnation of its process.
+	From    NodeID
+	Process uint64
 	// StartUnixMilli is the start time of the endpoint's process that the attempt was sent to.
 	StartUnixMilli int64
 	EndedAt        time.Time
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -67,6 +67,8 @@
 	// tickedAt is when the current tick began. resumedAt is when the first tick after the last pause of this process began, and pausedAt when the
 	// last one before it did; both are zero if there was none.
 	tickedAt, pausedAt, resumedAt time.Time
+	// processStart is the moment that ProcessTime counts from; zero before its first call.
+	processStart time.Time
 	// ReadsForAll is set while this node reads the store and distributes the changes to all nodes.
 	ReadsForAll bool
 }
@@ -111,6 +113,15 @@
 	return w.pausedAt, !w.resumedAt.IsZero() && w.resumedAt.Equal(w.tickedAt)
 }
 
+// ProcessTime returns a time on the clock of this process, which counts from an arbitrary moment and is never zero after it. Other nodes compare such
+// times of one process with each other.
+func (w *World) ProcessTime(now time.Time) time.Duration {
+	if w.processStart.IsZero() {
+		w.processStart = now
+	}
+	return now.Sub(w.processStart) + time.Microsecond
+}
+
 // staleMessageTime is the time after a pause in which this process receives the messages that have waited in its socket.
 const staleMessageTime = 300 * time.Millisecond
 
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -32,31 +32,43 @@
 	digestDelay = 2 * time.Second
 )
 
+// sender is the process of a node that reported an attempt.
+type sender struct {
+	node    modeler.NodeID
+	process uint64
+}
+
+func senderOf(message modeler.Message) sender {
+	return sender{node: message.From, process: message.Incarnation}
+}
+
+// report is the report of a broken attempt.
+type report struct {
+	from    modeler.NodeID
+	ended   modeler.Ended
+	attempt modeler.BrokenAttempt
+}
+
+// newReport returns the report of an attempt that ended at the given time on the clock of this node.
+func newReport(from sender, ended modeler.Ended, at time.Time) report {
+	return report{from: from.node, ended: ended, attempt: modeler.NewBrokenAttempt(from.process, ended, at)}
+}
+
 // quarantinePolicy decides which broken attempts count for a fingerprint, and when requests with it are refused.
 type quarantinePolicy interface {
-	// with returns the count after the attempt, or false if the attempt does not count. placed is when it was placed.
-	with(b modeler.BrokenAttempts, e modeler.Ended, placed, now time.Time) (modeler.BrokenAttempts, bool)
+	// with returns the count after an attempt that overlaps none that was counted.
+	with(b modeler.BrokenAttempts, r report) modeler.BrokenAttempts
 	// observation is the time after the first broken attempt in which requests are not refused.
 	observation() time.Duration
 	quarantineTime() (first time.Duration, growth int)
 }
 
-// overlaps reports whether an attempt that broke was placed before the last one that counted, and broke soon after it. If many attempts break at one
-// moment, as when a data centre fails, only one counts. Attempts that overlap for longer than the observation time all count, because first events
-// can take seconds.
-func overlaps(b modeler.BrokenAttempts, placed, now time.Time) bool {
-	return b.Count > 0 && placed.Before(b.At) && now.Sub(b.At) < modeler.ObservationTime
-}
-
 // requestPolicy counts, for a request, broken attempts that were placed one after the other. Callers may send the same sound request many times at
 // once, in particular one without a body.
 type requestPolicy struct{}
 
-func (requestPolicy) with(b modeler.BrokenAttempts, _ modeler.Ended, placed, now time.Time) (modeler.BrokenAttempts, bool) {
-	if overlaps(b, placed, now) {
-		return b, false
-	}
-	return b.WithBrokenAttempt(now), true
+func (requestPolicy) with(b modeler.BrokenAttempts, r report) modeler.BrokenAttempts {
+	return b.WithBrokenAttempt(r.attempt.EndedAt).WithReported(r.attempt, true)
 }
 
 func (requestPolicy) observation() time.Duration { return 0 }
@@ -68,16 +80,13 @@
 // partPolicy counts, for a shared part of prompts, broken attempts of different requests that were placed one after the other.
 type partPolicy struct{}
 
-func (partPolicy) with(b modeler.BrokenAttempts, e modeler.Ended, placed, now time.Time) (modeler.BrokenAttempts, bool) {
-	if overlaps(b, placed, now) {
-		return b, false
-	}
-	request := requestFingerprint(e)
+func (partPolicy) with(b modeler.BrokenAttempts, r report) modeler.BrokenAttempts {
+	request := requestFingerprint(r.ended)
 	if b.Quarantines == 0 && slices.Contains(b.Requests, request) {
 		// The next request is compared with the last different one: it may have been placed while this one was repeated.
-		return b.WithRepeat(), true
+		return b.WithRepeat().WithReported(r.attempt, false)
 	}
-	return b.WithBrokenAttempt(now).WithRequest(request, e.SharedParts), true
+	return b.WithBrokenAttempt(r.attempt.EndedAt).WithRequest(request, r.ended.SharedParts).WithReported(r.attempt, true)
 }
 
 func (partPolicy) observation() time.Duration { return modeler.ObservationTime }
@@ -95,16 +104,19 @@
 	return modeler.Fingerprint(xxhash.Sum64String(callerID))
 }
 
-// countBroken counts an attempt of a node that broke at a given time for a fingerprint of its request or of a shared part.
-func countBroken[P quarantinePolicy](
-	tick *modeler.Tick, world *modeler.World, policy P, fingerprint modeler.Fingerprint, from modeler.NodeID, e modeler.Ended, at time.Time,
-) {
+// countBroken counts a broken attempt for a fingerprint of its request or of a shared part.
+func countBroken[P quarantinePolicy](tick *modeler.Tick, world *modeler.World, policy P, fingerprint modeler.Fingerprint, r report) {
 	before, _ := world.BrokenAttempts.Get(fingerprint)
-	after, counts := policy.with(before, e, at.Add(-e.Age), at)
-	logReport(tick, world, before, after, fingerprint, from, e, at)
-	if !counts {
+	if before.Reported(r.attempt) {
+		return
+	}
+	if before.Overlaps(r.attempt) {
+		logReport(tick, world, before, before, fingerprint, r)
+		world.BrokenAttempts.Put(fingerprint, before.WithReported(r.attempt, false))
 		return
 	}
+	after := policy.with(before, r)
+	logReport(tick, world, before, after, fingerprint, r)
 	if after.ReachesQuarantine() {
 		from := after.FirstAt.Add(policy.observation())
 		if from.Before(tick.Now) {
@@ -127,27 +139,24 @@
 		}
 	}
 	if after.Quarantines > before.Quarantines {
-		logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventQuarantined, Request: e.ID, Fields: []modeler.LogField{
+		logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventQuarantined, Request: r.ended.ID, Fields: []modeler.LogField{
 			{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{fingerprint})}, {Key: "SharedPart", Value: after.SharedPart},
 			{Key: "Count", Value: after.Count}, {Key: "For", Value: after.Until.Sub(tick.Now)},
 		}})
 	}
 }
 
-// logReport emits a log event for a reported attempt if this node decides on quarantines. SinceLast is the time from the end of the last counted
-// attempt to the placement of this one; both overlap if it is negative.
-func logReport(
-	tick *modeler.Tick, world *modeler.World, before, after modeler.BrokenAttempts, fingerprint modeler.Fingerprint, from modeler.NodeID, e modeler.Ended, at time.Time,
-) {
+// logReport emits a log event for a reported attempt if this node decides on quarantines.
+func logReport(tick *modeler.Tick, world *modeler.World, before, after modeler.BrokenAttempts, fingerprint modeler.Fingerprint, r report) {
 	fields := []modeler.LogField{
-		{Key: "Node", Value: string(from)}, {Key: "Endpoint", Value: string(e.Endpoint)},
+		{Key: "Node", Value: string(r.from)}, {Key: "Endpoint", Value: string(r.ended.Endpoint)},
 		{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{fingerprint})}, {Key: "SharedPart", Value: after.SharedPart},
 		{Key: "Counted", Value: after.Count > before.Count}, {Key: "Count", Value: after.Count},
 	}
 	if before.Count > 0 {
-		fields = append(fields, modeler.LogField{Key: "SinceLast", Value: at.Add(-e.Age).Sub(before.At)})
+		fields = append(fields, modeler.LogField{Key: "SinceLast", Value: r.attempt.PlacedAt.Sub(before.At)})
 	}
-	logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventBrokenAttemptReported, Request: e.ID, Fields: fields})
+	logQuarantine(tick, world, modeler.LogEvent{Name: modeler.LogEventBrokenAttemptReported, Request: r.ended.ID, Fields: fields})
 }
 
 // places reports whether this node places its requests for engines itself, so that it decides on quarantines. What other nodes count from their own
@@ -181,7 +190,7 @@
 }
 
 // recordOutcome counts a broken attempt for its request and for the shared parts of its prompt, or removes the counts that its outcome refutes.
-func recordOutcome(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, e modeler.Ended) {
+func recordOutcome(tick *modeler.Tick, world *modeler.World, from sender, e modeler.Ended) {
 	if e.Outcome == modeler.Answered && e.Survived {
 		// An endpoint has run the request, so that earlier attempts ended for another reason.
 		world.UnresolvedAttempts.Delete(e.Fingerprint)
@@ -190,13 +199,13 @@
 		}
 	}
 	if e.Outcome == modeler.Broken && e.Fingerprint != modeler.NoFingerprint {
-		countBroken(tick, world, requestPolicy{}, e.Fingerprint, from, e, tick.Now)
+		countBroken(tick, world, requestPolicy{}, e.Fingerprint, newReport(from, e, tick.Now))
 	}
 	for _, part := range e.SharedParts {
 		if e.Survived {
 			clearPart(tick, world, part, e.ID, tick.Now.Add(-e.Age))
 		} else if e.Outcome == modeler.Broken {
-			countBroken(tick, world, partPolicy{}, part, from, e, tick.Now)
+			countBroken(tick, world, partPolicy{}, part, newReport(from, e, tick.Now))
 		}
 	}
 }
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -193,9 +193,9 @@
 	}{
 		{"answered", modeler.Answered, true, 0, modeler.Ended{SharedParts: parts, Age: time.Second, Survived: true}},
 		{"caller error, or no stated end", modeler.Answered, false, 0, modeler.Ended{}},
-		{"broken before the first event", modeler.Broken, false, 0, modeler.Ended{SharedParts: parts, Age: time.Second}},
-		{"broken soon after it", modeler.Broken, false, 900 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second}},
-		{"broken later", modeler.Broken, false, 600 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second, Survived: true}},
+		{"broken before the first event", modeler.Broken, false, 0, modeler.Ended{SharedParts: parts, Age: time.Second, ProcessEndedAt: time.Microsecond}},
+		{"broken soon after it", modeler.Broken, false, 900 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second, ProcessEndedAt: time.Microsecond}},
+		{"broken later", modeler.Broken, false, 600 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second, ProcessEndedAt: time.Microsecond, Survived: true}},
 		{"caller left a running stream", modeler.Abandoned, false, 600 * time.Millisecond, modeler.Ended{SharedParts: parts, Age: time.Second, Survived: true}},
 		{"caller left early", modeler.Abandoned, false, 0, modeler.Ended{}},
 		{"shed", modeler.Shed, false, 0, modeler.Ended{}},
--- a/internal/fleet/watcher/unresolved.go
+++ b/internal/fleet/watcher/unresolved.go
@@ -19,7 +19,7 @@
 
 // recordUnresolved keeps an attempt that ended without an answer and without a broken connection: behind a cut, or when the host of the endpoint has
 // failed, nothing else shows that the endpoint has ended.
-func recordUnresolved(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, a modeler.Assignment, e modeler.Ended) {
+func recordUnresolved(tick *modeler.Tick, world *modeler.World, from sender, a modeler.Assignment, e modeler.Ended) {
 	switch e.Outcome {
 	case modeler.Silent, modeler.Abandoned, modeler.Garbled:
 	default:
@@ -30,7 +30,7 @@
 		return
 	}
 	e.SharedParts, e.Age = a.Request.SharedParts, tick.Now.Sub(a.Placed)
-	attempt := modeler.UnresolvedAttempt{Ended: e, From: from, StartUnixMilli: endpoint.StartUnixMilli, EndedAt: tick.Now}
+	attempt := modeler.UnresolvedAttempt{Ended: e, From: from.node, Process: from.process, StartUnixMilli: endpoint.StartUnixMilli, EndedAt: tick.Now}
 	if e.Fingerprint != modeler.NoFingerprint {
 		putUnresolved(world, e.Fingerprint, false, attempt)
 	}
@@ -52,6 +52,11 @@
 	world.UnresolvedAttempts.Put(fingerprint, row.WithAttempt(attempt))
 }
 
+// reportOf returns the report of an attempt whose endpoint has ended.
+func reportOf(attempt modeler.UnresolvedAttempt) report {
+	return newReport(sender{node: attempt.From, process: attempt.Process}, attempt.Ended, attempt.EndedAt)
+}
+
 // resolve counts the unresolved attempts whose endpoints have ended as broken, and deletes those that are too old for that.
 func (s *System) resolve(tick *modeler.Tick, world *modeler.World) {
 	if world.UnresolvedAttempts.Len() == 0 || tick.Now.Before(s.nextResolveAt) {
@@ -65,9 +70,9 @@
 				return tick.Now.Sub(attempt.EndedAt) >= unresolvedRetention
 			}
 			if row.SharedPart {
-				countBroken(tick, world, partPolicy{}, fingerprint, attempt.From, attempt.Ended, attempt.EndedAt)
+				countBroken(tick, world, partPolicy{}, fingerprint, reportOf(attempt))
 			} else {
-				countBroken(tick, world, requestPolicy{}, fingerprint, attempt.From, attempt.Ended, attempt.EndedAt)
+				countBroken(tick, world, requestPolicy{}, fingerprint, reportOf(attempt))
 			}
 			return true
 		})
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -46,10 +46,10 @@
 			case modeler.Ended:
 				if a, ok := world.Assignments.Get(body.ID); ok {
 					sampleEnded(tick, world, a)
-					recordUnresolved(tick, world, e.Message.From, a, body)
+					recordUnresolved(tick, world, senderOf(e.Message), a, body)
 				}
 				world.Unassign(body.ID)
-				recordOutcome(tick, world, e.Message.From, body)
+				recordOutcome(tick, world, senderOf(e.Message), body)
 				updateHealth(tick, world, body)
 			case modeler.Digest:
 				applyDigest(tick.Now, world, e.Message, body.Suspects)
@@ -166,8 +166,11 @@
 	if ended.Survived || e.Outcome == modeler.Broken {
 		ended.SharedParts, ended.Age = assignment.Request.SharedParts, tick.Now.Sub(assignment.Placed)
 	}
-	recordUnresolved(tick, world, world.Self.ID, assignment, ended)
-	recordOutcome(tick, world, world.Self.ID, ended)
+	if ended.Outcome == modeler.Broken {
+		ended.ProcessEndedAt = world.ProcessTime(tick.Now)
+	}
+	recordUnresolved(tick, world, senderOf(world.Message(ended)), assignment, ended)
+	recordOutcome(tick, world, senderOf(world.Message(ended)), ended)
 	if ended.Outcome == modeler.Broken {
 		brokenAttempts, _ := world.BrokenAttempts.Get(ended.Fingerprint)
 		tick.Emit(modeler.LogEvent{Name: modeler.LogEventAttemptBroken, Request: e.ID, Fields: []modeler.LogField{
