Run one request with a suspect fingerprint at a time in the whole fleet

Cause: each node places calls of plain services itself and learns of broken attempts from a digest once a second. A call that has ended one or two endpoints ran on several others meanwhile, in particular at the moment at which the endpoints of an empty service are back: what waited for them went to all of them from every node. Attempts that overlap count once, so that the count stayed below the quarantine for another round.

Change: once an attempt of a request has broken, all nodes ask the node that places for all, also for a plain service and for calls that wait already. It places the next request with the fingerprint when the last one has ended, or after the observation time, so that each further crash counts. What waits for it too long is refused with the new reason Suspected. A whole success ends this at once. A request that was quarantined runs alone for ten more minutes.

--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -28,8 +28,11 @@
 	// engine if the part is deadly.
 	confirmedProbeDelay = 30 * time.Second
 	maxProbeDelay       = 8 * time.Minute
-	// recentTime is how long a count is recent.
-	recentTime = 10 * time.Second
+	// recentTime is how long the count of a shared part is recent, and suspectTime that of a request.
+	recentTime  = 10 * time.Second
+	suspectTime = time.Minute
+	// releaseTime is the time after the quarantine of a request in which it runs alone: it may still come to all nodes at once.
+	releaseTime = 10 * time.Minute
 	// maxQuarantineTime bounds the quarantine of a fingerprint that is quarantined again and again.
 	maxQuarantineTime = 24 * time.Hour
 )
@@ -62,6 +65,9 @@
 	Probe    RequestID
 	ProbedAt time.Time
 	Probes   int
+	// Trial is the last request with the fingerprint that this node placed, or was granted, while it had to run alone. TrialAt is when.
+	Trial   RequestID
+	TrialAt time.Time
 }
 
 // WithBrokenAttempt returns the count after one more broken attempt. at may be before the time of the last one: reports overtake each other, and some
@@ -186,9 +192,25 @@
 	return len(b.Requests) >= suspectThreshold && now.Sub(b.FirstAt) >= ObservationTime
 }
 
-// Recent reports whether an attempt was counted a short time ago, so that a node that begins to coordinate has to know the count although nothing
-// is refused yet.
-func (b BrokenAttempts) Recent(now time.Time) bool { return now.Sub(b.At) < recentTime }
+// Recent reports whether other nodes have to know the count although nothing is refused: an attempt was counted a short time ago, or a request was
+// quarantined.
+func (b BrokenAttempts) Recent(now time.Time) bool {
+	if b.SharedPart {
+		return now.Sub(b.At) < recentTime
+	}
+	return now.Sub(b.At) < suspectTime || b.Quarantines > 0 && now.Sub(b.Until) < releaseTime
+}
+
+// RunsAlone reports whether the nodes together run one request with this fingerprint at a time. Shared parts are also in sound requests, which are not held up.
+func (b BrokenAttempts) RunsAlone(now time.Time) bool {
+	return b.Count > 0 && !b.SharedPart && b.Recent(now)
+}
+
+// WithTrial returns the count after a request that has to run alone was placed.
+func (b BrokenAttempts) WithTrial(id RequestID, at time.Time) BrokenAttempts {
+	b.Trial, b.TrialAt = id, at
+	return b
+}
 
 // Suspect is a fingerprint in a digest.
 type Suspect struct {
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -159,4 +159,6 @@
 	Request Request
 	// Since is when the request was queued.
 	Since time.Time
+	// Local is set if no other node is asked for the placement any more.
+	Local bool
 }
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -129,7 +129,8 @@
 
 // Temporary reports whether the refusal is temporary, so that the request may be placed later.
 func (d Decision) Temporary() bool {
-	return d.Refused && (d.Reason == ReasonOverloaded || d.Reason == ReasonNoEndpoint || d.Reason == ReasonLimited || d.Reason == ReasonPaused)
+	return d.Refused && (d.Reason == ReasonOverloaded || d.Reason == ReasonNoEndpoint || d.Reason == ReasonLimited || d.Reason == ReasonPaused ||
+		d.Reason == ReasonSuspected)
 }
 
 // RefusalReason is the reason why a request was not placed.
@@ -149,6 +150,8 @@
 	ReasonPaused RefusalReason = "EndpointPause"
 	// ReasonQuarantined means that the connections to several endpoints broke while they ran the request.
 	ReasonQuarantined RefusalReason = "Quarantined"
+	// ReasonSuspected means that a connection broke while an endpoint ran a request with the same content, and that another one runs.
+	ReasonSuspected RefusalReason = "Suspected"
 	// ReasonBudget means that the retry budget is used up.
 	ReasonBudget RefusalReason = "RetryBudget"
 	// ReasonLeaving means that the node stops before the request could end.
--- a/internal/fleet/placer/forwarded.go
+++ b/internal/fleet/placer/forwarded.go
@@ -74,7 +74,7 @@
 	placing, ok := elector.PlacingNode(world, tick.Now)
 	if !ok || placing.ID == entry.To {
 		world.Forwarded.Delete(entry.Request.ID)
-		s.wait(world, modeler.Waiting{Request: entry.Request, Since: tick.Now})
+		s.wait(world, modeler.Waiting{Request: entry.Request, Since: tick.Now, Local: true})
 		return
 	}
 	s.forward(tick, world, entry.Request, placing)
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -1,7 +1,7 @@
 // Package placer decides on which endpoints requests run. One node, the coordinator, places the requests of all nodes for model engines: it
 // knows exactly what runs where, whereas load that engines report would lag behind. A node that gets no response from the coordinator places
 // its requests for engines locally. Each node places its requests for plain services itself, unless an endpoint of the service names a limit for all nodes
-// together.
+// together, or the request is suspected to end endpoints.
 package placer
 
 import (
@@ -88,7 +88,7 @@
 	}
 	service, known := world.Configuration.Service(request.Service)
 	placing, ok := elector.PlacingNode(world, tick.Now)
-	if !ok || !known || !service.IsEngine() && !world.ServiceLimited(service.ID) {
+	if !ok || !known || !service.IsEngine() && !world.ServiceLimited(service.ID) && !runsAlone(tick.Now, world, request) {
 		s.wait(world, modeler.Waiting{Request: request, Since: tick.Now})
 		return
 	}
@@ -212,7 +212,7 @@
 		s.forward(tick, world, request, placing)
 		return
 	}
-	s.wait(world, modeler.Waiting{Request: request, Since: tick.Now})
+	s.wait(world, modeler.Waiting{Request: request, Since: tick.Now, Local: true})
 }
 
 // releaseGrant tells the node that made a placement that it is not used.
@@ -329,6 +329,7 @@
 
 func (s *System) assign(tick *modeler.Tick, world *modeler.World, request modeler.Request, plan modeler.Plan) {
 	world.Assign(modeler.Assignment{Request: request, Plan: plan, Placed: tick.Now})
+	recordTrial(tick.Now, world, request)
 	if plan.PartPrefill <= 0 {
 		return
 	}
--- /dev/null
+++ b/internal/fleet/placer/suspects.go
@@ -0,0 +1,59 @@
+package placer
+
+import (
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/elector"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// runsAlone reports whether one request at a time with the fingerprint of this one runs in the whole fleet, because attempts of it have broken. What is
+// sent to several endpoints at once can end all of them before the first result is known: a service of few copies is empty then, and the requests that
+// wait for it would go to all copies at the moment of their return.
+func runsAlone(now time.Time, world *modeler.World, request modeler.Request) bool {
+	if world.BrokenAttempts.Len() == 0 {
+		return false
+	}
+	brokenAttempts, ok := world.BrokenAttempts.Get(request.Fingerprint)
+	return ok && brokenAttempts.RunsAlone(now)
+}
+
+// held reports whether a request waits until it is known how the last one with its fingerprint ends. After the observation time the next attempt counts
+// even if it overlaps the last one, so that a request that runs for long holds up others no longer than that.
+func held(now time.Time, world *modeler.World, request modeler.Request) bool {
+	if !runsAlone(now, world, request) {
+		return false
+	}
+	brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint)
+	_, running := world.Assignments.Get(brokenAttempts.Trial)
+	return running && now.Sub(brokenAttempts.TrialAt) < modeler.ObservationTime
+}
+
+// recordTrial records that a request which has to run alone was placed.
+func recordTrial(now time.Time, world *modeler.World, request modeler.Request) {
+	if !runsAlone(now, world, request) {
+		return
+	}
+	brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint)
+	world.BrokenAttempts.Put(request.Fingerprint, brokenAttempts.WithTrial(request.ID, now))
+}
+
+// decideSuspect forwards a waiting request that has to run alone to the node that places for all, or keeps it waiting while another one runs. It reports
+// whether there is nothing else to decide.
+func (s *System) decideSuspect(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting, waitsUntil time.Time) bool {
+	if !runsAlone(tick.Now, world, entry.Request) {
+		return false
+	}
+	if placing, ok := elector.PlacingNode(world, tick.Now); ok && entry.Request.Node == world.Self.ID && !entry.Local {
+		world.Waiting.Delete(entry.Request.ID)
+		s.forward(tick, world, entry.Request, placing)
+		return true
+	}
+	if !held(tick.Now, world, entry.Request) {
+		return false
+	}
+	if !tick.Now.Before(waitsUntil) {
+		s.endWaiting(tick, world, entry, refusal(modeler.ReasonSuspected, retryAfter(tick.Now, entry.Request)))
+	}
+	return true
+}
--- a/internal/fleet/placer/waiting.go
+++ b/internal/fleet/placer/waiting.go
@@ -59,6 +59,9 @@
 // decideWaiting decides on a waiting request and blocks its group if it has to wait longer.
 func (s *System) decideWaiting(tick *modeler.Tick, world *modeler.World, key queueKey) {
 	entry, _ := world.Waiting.Get(key.id)
+	if s.decideSuspect(tick, world, entry, key.waitsUntil) {
+		return
+	}
 	entry.Request = entry.Request.WithWeightFactor(s.onTime.weightFactor(entry.Request))
 	decision, decided := s.decide(tick, world, entry)
 	if !decided {
