Keep counts of suspect requests known on all nodes

Cause: nodes placed a suspect call by themselves although the coordinator knew its count. A report that was lost stayed lost.

Change: digests list the counts of requests for a minute after the last crash and for ten minutes after a quarantine, 24 of them, the latest first, and say whether they leave out some: then nodes delete nothing. The next heartbeat after a broken attempt brings a digest. Heartbeats repeat what their node has reported for a second. TestDigestSuspects expects the higher limit for requests; the one for shared parts is unchanged and has a case of its own now.

--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -21,11 +21,14 @@
 	// maxLoads is the maximum number of endpoints whose load is in a digest. The busiest ones are sufficient: a node that places requests
 	// without the coordinator has to avoid these.
 	maxLoads = 64
-	// MaxSuspects is the maximum number of fingerprints in a digest.
-	MaxSuspects = 16
-	// maxRecent is the maximum number of fingerprints in a digest that nothing is refused for yet. They leave room for others, because a digest with
-	// MaxSuspects fingerprints may not be complete.
-	maxRecent = 8
+	// maxSuspects is the maximum number of fingerprints in a digest for which requests are refused or broken ones are not sent again. maxRecentParts
+	// and maxRecentRequests are those of shared parts and of requests for which nothing is refused yet. An engine that ends can break the attempts of
+	// maxRecentRequests requests, most of which are sound.
+	maxSuspects       = 16
+	maxRecentParts    = 8
+	maxRecentRequests = 24
+	// reportTime is how long heartbeats repeat what this node has reported of broken attempts, in case the report was lost: four heartbeats.
+	reportTime = time.Second
 	// maxTerms is the maximum number of endpoints whose terms are in a digest. clearedTermsTime is how long it lists endpoints that no longer name a
 	// limit: several digests.
 	maxTerms         = 160
@@ -48,7 +51,8 @@
 	if s.loads != nil {
 		digest.Loads = busiest(s.loads(now, world))
 	}
-	digest.Suspects, digest.Terms = suspects(now, world), reportedTerms(now, world)
+	digest.Suspects, digest.SuspectsPartial = suspects(now, world)
+	digest.Terms = reportedTerms(now, world)
 	return digest
 }
 
@@ -86,27 +90,50 @@
 	}
 }
 
-// suspects returns the fingerprints that other nodes have to know, at most MaxSuspects: first those that are quarantined for longest, then those
-// with the highest count, then up to maxRecent others with the highest count.
-func suspects(now time.Time, world *modeler.World) []modeler.Suspect {
-	var list, recent []modeler.Suspect
+// suspects returns the fingerprints that other nodes have to know, and whether it leaves out some for lack of room: first those that are quarantined
+// for longest or have the highest count, then the others with the highest count, the latest first.
+func suspects(now time.Time, world *modeler.World) (list []modeler.Suspect, partial bool) {
+	var refused, parts, requests []modeler.Suspect
 	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
 		suspect, ok := brokenAttempts.Suspect(fingerprint, now)
 		switch {
 		case ok:
-			list = append(list, suspect)
-		case brokenAttempts.Recent(now):
-			recent = append(recent, suspect)
+			refused = append(refused, suspect)
+		case !brokenAttempts.Recent(now):
+		case suspect.SharedPart:
+			parts = append(parts, suspect)
+		default:
+			requests = append(requests, suspect)
 		}
 	}
-	for _, part := range [][]modeler.Suspect{list, recent} {
-		slices.SortStableFunc(part, func(a, b modeler.Suspect) int {
-			return cmp.Or(cmp.Compare(b.QuarantinedFor, a.QuarantinedFor), cmp.Compare(b.Count, a.Count))
-		})
+	for _, group := range []struct {
+		suspects []modeler.Suspect
+		limit    int
+	}{{refused, maxSuspects}, {parts, maxRecentParts}, {requests, maxRecentRequests}} {
+		partial = partial || len(group.suspects) > group.limit
+		list = append(list, mostSuspect(group.suspects, group.limit)...)
+	}
+	return list, partial
+}
+
+// mostSuspect sorts a list and returns its first entries, at most limit.
+func mostSuspect(list []modeler.Suspect, limit int) []modeler.Suspect {
+	slices.SortStableFunc(list, func(a, b modeler.Suspect) int {
+		return cmp.Or(cmp.Compare(b.QuarantinedFor, a.QuarantinedFor), cmp.Compare(b.Count, a.Count), cmp.Compare(a.Age, b.Age))
+	})
+	return list[:min(len(list), limit)]
+}
+
+// reportedSuspects returns the fingerprints of the requests of which this node has reported a broken attempt within reportTime.
+func reportedSuspects(now time.Time, world *modeler.World) []modeler.Suspect {
+	var list []modeler.Suspect
+	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
+		if !brokenAttempts.SharedPart && now.Sub(brokenAttempts.At) < reportTime && brokenAttempts.ReportedBy(world.Self.Incarnation) {
+			suspect, _ := brokenAttempts.Suspect(fingerprint, now)
+			list = append(list, suspect)
+		}
 	}
-	list = list[:min(len(list), MaxSuspects)]
-	room := max(min(maxRecent, MaxSuspects-1-len(list)), 0)
-	return append(list, recent[:min(len(recent), room)]...)
+	return mostSuspect(list, maxRecentRequests)
 }
 
 // digestNodes returns the nodes that the next digest contains: those that started recently or are not registered yet, and some of the
--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -122,11 +122,26 @@
 			"part of one request that broke twice", []modeler.BrokenAttempts{part.WithBrokenAttempt(now)},
 			[]modeler.Suspect{{Fingerprint: 1, Count: 2, SharedPart: true, Requests: requests[:1]}},
 		},
-		{"many that broke once", slices.Repeat([]modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now)}, 100), manyRecent(8)},
+		{"many that broke once", slices.Repeat([]modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now)}, 100), manyRecent(24)},
+		{"many parts that broke once", slices.Repeat([]modeler.BrokenAttempts{part}, 100), manyOnce(8)},
+		{
+			"the last of many that broke once",
+			append(slices.Repeat([]modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now.Add(-time.Second))}, 24), modeler.BrokenAttempts{}.WithBrokenAttempt(now)),
+			append([]modeler.Suspect{{Fingerprint: 25, Count: 1}}, withAge(manyRecent(23), time.Second)...),
+		},
+		{
+			"request that broke once some time ago", []modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now.Add(-50 * time.Second))},
+			[]modeler.Suspect{{Fingerprint: 1, Count: 1, Age: 50 * time.Second}},
+		},
+		{"request that broke once long ago", []modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now.Add(-time.Minute))}, nil},
+		{
+			"request whose quarantine has ended", []modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now.Add(-5*time.Minute)).WithQuarantine(now.Add(-5*time.Minute), now.Add(-5*time.Minute), time.Minute, 2)},
+			[]modeler.Suspect{{Fingerprint: 1, Count: 1, Age: 5 * time.Minute}},
+		},
 		{
 			"many that broke once beside parts of two requests",
 			append(slices.Repeat([]modeler.BrokenAttempts{suspected}, 14), slices.Repeat([]modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now)}, 9)...),
-			append(manySuspects(14), modeler.Suspect{Fingerprint: 15, Count: 1}),
+			append(manySuspects(14), manyRecent(23)[14:]...),
 		},
 		{"request that broke twice", []modeler.BrokenAttempts{{Count: 2}}, nil},
 		{
@@ -146,14 +161,22 @@
 			tick := &modeler.Tick{Now: now}
 			elector.New(nil).Run(tick, world)
 			var got []modeler.Suspect
+			partial := false
 			for _, effect := range tick.Effects() {
 				if send, ok := effect.(modeler.Send); ok {
 					if digest, ok := send.Message.Body.(modeler.Digest); ok {
-						got = digest.Suspects
+						got, partial = digest.Suspects, digest.SuspectsPartial
 					}
 				}
 			}
 			assert.DeepEqual(t, got, tt.want)
+			listable := 0
+			for i, row := range tt.rows {
+				if _, ok := row.Suspect(modeler.Fingerprint(i+1), now); ok || row.Recent(now) {
+					listable++
+				}
+			}
+			assert.Equal(t, partial, listable > len(got))
 		})
 	}
 }
@@ -211,3 +234,87 @@
 	}
 	return list
 }
+
+// manyOnce returns the entries of shared parts that broke once.
+func manyOnce(count int) []modeler.Suspect {
+	list := manyRecent(count)
+	for i := range list {
+		list[i].SharedPart, list[i].Requests = true, []modeler.Fingerprint{1}
+	}
+	return list
+}
+
+func withAge(list []modeler.Suspect, age time.Duration) []modeler.Suspect {
+	for i := range list {
+		list[i].Age = age
+	}
+	return list
+}
+
+// TestDigestOnChange guards against nodes that go on placing a request by themselves for up to a second after it has broken, and against a digest with every
+// heartbeat.
+func TestDigestOnChange(t *testing.T) {
+	now := time.Unix(1000, 0)
+	world := modeler.NewWorld(modeler.Node{ID: "self"})
+	world.Coordinator = "self"
+	world.Nodes.Put("a", modeler.Node{ID: "a", Incarnation: 1, Rank: 1}.WithLastSeen(now.Add(time.Hour)))
+	system := elector.New(nil)
+	digests := func(d time.Duration) int {
+		count := 0
+		for end := now.Add(d); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			tick := &modeler.Tick{Now: now}
+			system.Run(tick, world)
+			for _, effect := range tick.Effects() {
+				if send, ok := effect.(modeler.Send); ok {
+					if _, ok := send.Message.Body.(modeler.Digest); ok {
+						count++
+					}
+				}
+			}
+		}
+		return count
+	}
+	digests(3 * time.Second)
+	assert.Check(t, digests(4*time.Second) <= 8, "a digest with every heartbeat")
+	for range 5 {
+		world.BrokenAttempts.Put(1, modeler.BrokenAttempts{}.WithBrokenAttempt(now))
+		assert.Check(t, digests(300*time.Millisecond) >= 1, "no digest within 300 ms")
+	}
+}
+
+// TestLostReport guards against a broken attempt that the coordinator never learns of because the datagram of its report was lost, and against heartbeats that stay long.
+func TestLostReport(t *testing.T) {
+	const process = 7
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		// process reported the attempt to this node, ago before the heartbeat.
+		process uint64
+		ago     time.Duration
+		want    int
+	}{
+		{"of this node", process, 200 * time.Millisecond, 1},
+		{"of this node, some time ago", process, 2 * time.Second, 0},
+		{"of another node", process + 1, 200 * time.Millisecond, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "self", Incarnation: process, Rank: 2})
+			world.Coordinator, world.CoordinatorSince = "c", now.Add(-time.Minute)
+			world.Nodes.Put("c", modeler.Node{ID: "c", Incarnation: 1, Rank: 1}.WithLastSeen(now))
+			at := now.Add(-tt.ago)
+			attempt := modeler.NewBrokenAttempt(tt.process, modeler.Ended{ID: "r"}, at)
+			world.BrokenAttempts.Put(1, modeler.BrokenAttempts{}.WithBrokenAttempt(at).WithReported(attempt, true))
+			tick := &modeler.Tick{Now: now}
+			elector.New(nil).Run(tick, world)
+			beats := 0
+			for _, effect := range tick.Effects() {
+				if send, ok := effect.(modeler.Send); ok {
+					beats++
+					assert.Equal(t, len(send.Message.Body.(modeler.Beat).Suspects), tt.want)
+				}
+			}
+			assert.Assert(t, beats > 0)
+		})
+	}
+}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -32,7 +32,7 @@
 	// hubs, so that the number of messages grows with the number of nodes and not with its square.
 	hubCount = 6
 	// digestEvery is the number of the coordinator's heartbeats per digest: two digests fit into reportTimeout. The coordinator also sends one
-	// with every hello.
+	// with every hello, and with the next heartbeat after a broken attempt.
 	digestEvery = 4
 	// handoverTime is how long nodes tell a new coordinator the fingerprints that the one before listed: several heartbeats. It may have just
 	// started and know none.
@@ -48,6 +48,8 @@
 	// doubted is set if the coordinator did not respond to a request before the last tick.
 	doubted bool
 	beats   int
+	// suspectsRevision is the revision of World.BrokenAttempts at the last digest.
+	suspectsRevision uint64
 	// live holds the incarnations of the nodes for which Live reported true at the last heartbeat.
 	live map[modeler.NodeID]uint64
 	// announced counts, by incarnation, the digests that contained a node since it started.
@@ -262,7 +264,9 @@
 	message := s.beatMessage(tick.Now, world)
 	var digest *modeler.Digest
 	if world.Coordinates() {
-		if s.beats++; s.beats%digestEvery == 0 || hello {
+		revision := world.BrokenAttempts.Revision()
+		if s.beats++; s.beats%digestEvery == 0 || hello || revision != s.suspectsRevision {
+			s.suspectsRevision = revision
 			digest = s.digest(tick.Now, world)
 		}
 	}
@@ -343,7 +347,10 @@
 func (s *System) beatMessage(now time.Time, world *modeler.World) modeler.Message {
 	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll}
 	if now.Sub(world.CoordinatorSince) < handoverTime {
-		body.Suspects, body.Terms = suspects(now, world), reportedTerms(now, world)
+		body.Suspects, _ = suspects(now, world)
+		body.Terms = reportedTerms(now, world)
+	} else if !world.Coordinates() {
+		body.Suspects = reportedSuspects(now, world)
 	}
 	for _, id := range world.ByNode.Keys(world.Self.ID) {
 		if a, ok := world.Assignments.Get(id); ok {
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -158,7 +158,7 @@
 			Running: int(l.GetRunning()), Memory: modeler.Tokens(l.GetMemory()), Backlog: microseconds(l.GetBacklog()), Gap: microseconds(l.GetGap()),
 		}
 	}
-	digest.Suspects = decodeSuspects(d.GetSuspects())
+	digest.Suspects, digest.SuspectsPartial = decodeSuspects(d.GetSuspects()), d.GetSuspectsPartial()
 	digest.Terms = decodeTerms(d.GetTerms())
 	return digest
 }
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -137,7 +137,7 @@
 			Endpoint: string(id), Running: int32(l.Running), Memory: int64(l.Memory), Backlog: l.Backlog.Microseconds(), Gap: l.Gap.Microseconds(),
 		})
 	}
-	digest.Suspects = encodeSuspects(body.Suspects)
+	digest.Suspects, digest.SuspectsPartial = encodeSuspects(body.Suspects), body.SuspectsPartial
 	digest.Terms = encodeTerms(body.Terms)
 	return digest
 }
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -68,8 +68,9 @@
 		}},
 		{"terms", modeler.TermsReport{Terms: []modeler.ReportedTerms{{Endpoint: "e", StartUnixMilli: 7, Limited: true, Limit: 2.5, Age: time.Second}}}},
 		{"digest", modeler.Digest{
-			Terms: []modeler.ReportedTerms{{Endpoint: "e", StartUnixMilli: 7, Limited: true, Age: time.Second}, {Endpoint: "f", Leaving: true}},
-			Alive: []modeler.ReportedNode{{Node: node(), Age: time.Second}}, AliveRanks: []modeler.ReportedRank{{Age: 7 * time.Millisecond}, {Rank: 1 << 40, Age: 2 * time.Second}}, Suspects: []modeler.Suspect{
+			SuspectsPartial: true,
+			Terms:           []modeler.ReportedTerms{{Endpoint: "e", StartUnixMilli: 7, Limited: true, Age: time.Second}, {Endpoint: "f", Leaving: true}},
+			Alive:           []modeler.ReportedNode{{Node: node(), Age: time.Second}}, AliveRanks: []modeler.ReportedRank{{Age: 7 * time.Millisecond}, {Rank: 1 << 40, Age: 2 * time.Second}}, Suspects: []modeler.Suspect{
 				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Confirmed: true, Age: 5 * time.Second}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}, Requests: []modeler.Fingerprint{6, 7}},
 			},
 			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
--- a/internal/fleet/modeler/broken_attempt.go
+++ b/internal/fleet/modeler/broken_attempt.go
@@ -53,6 +53,11 @@
 	return slices.ContainsFunc(b.Attempts, attempt.same)
 }
 
+// ReportedBy reports whether a process has reported one of the last attempts.
+func (b BrokenAttempts) ReportedBy(process uint64) bool {
+	return slices.ContainsFunc(b.Attempts, func(a BrokenAttempt) bool { return a.Process == process })
+}
+
 // Overlaps reports whether an attempt ran at the same time as one that was counted. If many attempts break at one moment, as when a data centre fails,
 // only one counts. Attempts that overlap for longer than the observation time all count, because first events can take seconds.
 func (b BrokenAttempts) Overlaps(attempt BrokenAttempt) bool {
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -75,8 +75,9 @@
 		AliveRanks []ReportedRank
 		// Loads holds the loads of the busiest endpoints.
 		Loads map[EndpointID]LoadSummary
-		// Suspects holds the fingerprints that are quarantined, and the shared parts of prompts that may be soon.
-		Suspects []Suspect
+		// Suspects holds the fingerprints that are quarantined, and those that may be soon. SuspectsPartial is set if it leaves out some of the latter.
+		Suspects        []Suspect
+		SuspectsPartial bool
 		// Terms holds the terms of endpoints that name a limit, have done so lately or are leaving.
 		Terms []ReportedTerms
 	}
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -248,18 +248,18 @@
 }
 
 // applyDigest merges the fingerprints that a digest lists. What its sender no longer lists was refuted by another node's attempt.
-func applyDigest(now time.Time, world *modeler.World, message modeler.Message, suspects []modeler.Suspect) {
+func applyDigest(now time.Time, world *modeler.World, message modeler.Message, digest modeler.Digest) {
 	if world.Coordinates() {
 		return
 	}
-	mergeSuspects(now, world, suspects)
-	listed := make(map[modeler.Fingerprint]bool, len(suspects))
-	for _, suspect := range suspects {
+	mergeSuspects(now, world, digest.Suspects)
+	listed := make(map[modeler.Fingerprint]bool, len(digest.Suspects))
+	for _, suspect := range digest.Suspects {
 		listed[suspect.Fingerprint] = true
 		brokenAttempts, _ := world.BrokenAttempts.Get(suspect.Fingerprint)
 		world.BrokenAttempts.Put(suspect.Fingerprint, brokenAttempts.WithListedBy(message.Incarnation))
 	}
-	if message.From != world.Coordinator || len(suspects) >= elector.MaxSuspects {
+	if message.From != world.Coordinator || digest.SuspectsPartial {
 		return
 	}
 	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -236,6 +236,7 @@
 		incarnation uint64
 		suspects    []modeler.Suspect
 		at          time.Duration
+		partial     bool
 	}
 	tests := []struct {
 		name        string
@@ -244,26 +245,27 @@
 		at          time.Duration
 		want        bool
 	}{
-		{"learned", "c", []digest{{"c", 1, listed, 0}}, 0, true},
-		{"learned from the coordinator before", "d", []digest{{"c", 1, listed, 0}}, 0, true},
-		{"until its end", "c", []digest{{"c", 1, until, 0}}, time.Minute, false},
-		{"lifted by the coordinator", "c", []digest{{"c", 1, listed, 0}, {"c", 1, nil, 3 * time.Second}}, 3 * time.Second, false},
-		{"the coordinator may not know it yet", "c", []digest{{"c", 1, listed, 0}, {"c", 1, nil, time.Second}}, time.Second, true},
-		{"another node does not list it", "d", []digest{{"c", 1, listed, 0}, {"c", 1, nil, 3 * time.Second}}, 3 * time.Second, true},
-		{"a new coordinator does not know it", "d", []digest{{"c", 1, listed, 0}, {"d", 2, nil, 3 * time.Second}}, 3 * time.Second, true},
-		{"the coordinator has restarted", "c", []digest{{"c", 1, listed, 0}, {"c", 2, nil, 3 * time.Second}}, 3 * time.Second, true},
+		{"learned", "c", []digest{{"c", 1, listed, 0, false}}, 0, true},
+		{"learned from the coordinator before", "d", []digest{{"c", 1, listed, 0, false}}, 0, true},
+		{"until its end", "c", []digest{{"c", 1, until, 0, false}}, time.Minute, false},
+		{"lifted by the coordinator", "c", []digest{{"c", 1, listed, 0, false}, {"c", 1, nil, 3 * time.Second, false}}, 3 * time.Second, false},
+		{"no room for it", "c", []digest{{"c", 1, listed, 0, false}, {"c", 1, nil, 3 * time.Second, true}}, 3 * time.Second, true},
+		{"the coordinator may not know it yet", "c", []digest{{"c", 1, listed, 0, false}, {"c", 1, nil, time.Second, false}}, time.Second, true},
+		{"another node does not list it", "d", []digest{{"c", 1, listed, 0, false}, {"c", 1, nil, 3 * time.Second, false}}, 3 * time.Second, true},
+		{"a new coordinator does not know it", "d", []digest{{"c", 1, listed, 0, false}, {"d", 2, nil, 3 * time.Second, false}}, 3 * time.Second, true},
+		{"the coordinator has restarted", "c", []digest{{"c", 1, listed, 0, false}, {"c", 2, nil, 3 * time.Second, false}}, 3 * time.Second, true},
 		{
 			"lifted by a new coordinator that knew it", "d",
-			[]digest{{"c", 1, listed, 0}, {"d", 2, listed, 3 * time.Second}, {"d", 2, nil, 6 * time.Second}}, 6 * time.Second, false,
+			[]digest{{"c", 1, listed, 0, false}, {"d", 2, listed, 3 * time.Second, false}, {"d", 2, nil, 6 * time.Second, false}}, 6 * time.Second, false,
 		},
-		{"this node coordinates", "n", []digest{{"c", 1, listed, 0}}, 0, false},
+		{"this node coordinates", "n", []digest{{"c", 1, listed, 0, false}}, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			world := modeler.NewWorld(modeler.Node{ID: "n"})
 			world.Coordinator = tt.coordinator
 			for _, d := range tt.digests {
-				message := modeler.Message{From: d.from, Incarnation: d.incarnation, Body: modeler.Digest{Suspects: d.suspects}}
+				message := modeler.Message{From: d.from, Incarnation: d.incarnation, Body: modeler.Digest{Suspects: d.suspects, SuspectsPartial: d.partial}}
 				watcher.New().Run(&modeler.Tick{Now: start.Add(d.at), Events: []modeler.Event{modeler.PeerReceived{Message: message}}}, world)
 			}
 			brokenAttempts, _ := world.BrokenAttempts.Get(part)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -52,7 +52,7 @@
 				recordOutcome(tick, world, senderOf(e.Message), body)
 				updateHealth(tick, world, body)
 			case modeler.Digest:
-				applyDigest(tick.Now, world, e.Message, body.Suspects)
+				applyDigest(tick.Now, world, e.Message, body)
 			case modeler.Beat:
 				if world.Coordinates() {
 					mergeSuspects(tick.Now, world, body.Suspects)
