Describe suspect requests and count them in a gauge

Cause: operators could not see that calls wait because their content has ended an endpoint.

Result: TestSuspectsAreMeasured passes.

--- a/internal/fleet/modeler/snapshot.go
+++ b/internal/fleet/modeler/snapshot.go
@@ -24,6 +24,8 @@
 	Waiting int
 	// Quarantined is the number of fingerprints of requests and shared parts that are refused.
 	Quarantined int
+	// SuspectRequests is the number of fingerprints of requests of which one at a time runs. Those that are refused are among them.
+	SuspectRequests int
 }
 
 // NewSnapshot returns a snapshot of world with the given live nodes.
@@ -51,6 +53,9 @@
 		if brokenAttempts.Quarantined(now) {
 			s.Quarantined++
 		}
+		if brokenAttempts.RunsAlone(now) {
+			s.SuspectRequests++
+		}
 	}
 	return s
 }
--- a/internal/fleet/modeler/snapshot_test.go
+++ b/internal/fleet/modeler/snapshot_test.go
@@ -45,3 +45,31 @@
 		})
 	}
 }
+
+// TestSuspectsAreMeasured guards against gauges that do not show which requests are held up or refused.
+func TestSuspectsAreMeasured(t *testing.T) {
+	now := time.Unix(1000, 0)
+	once := modeler.BrokenAttempts{}.WithBrokenAttempt(now)
+	tests := []struct {
+		name                  string
+		row                   modeler.BrokenAttempts
+		after                 time.Duration
+		suspects, quarantined int
+	}{
+		{"request", once, time.Second, 1, 0},
+		{"request, long ago", once, time.Hour, 0, 0},
+		{"shared part", once.WithRequest(1, nil), time.Second, 0, 0},
+		{"quarantined request", once.WithQuarantine(now, now, time.Minute, 10), time.Second, 1, 1},
+		{"request after its quarantine", once.WithQuarantine(now, now, time.Minute, 10), 2 * time.Minute, 1, 0},
+		{"request long after its quarantine", once.WithQuarantine(now, now, time.Minute, 10), time.Hour, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			world.BrokenAttempts.Put(1, tt.row)
+			snapshot := modeler.NewSnapshot(world, nil, now.Add(tt.after))
+			assert.Equal(t, snapshot.SuspectRequests, tt.suspects)
+			assert.Equal(t, snapshot.Quarantined, tt.quarantined)
+		})
+	}
+}
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -66,6 +66,7 @@
 	o.set.NewGauge("damaskpick_repeats", func() float64 { return float64(options.Retries()) })
 	o.set.NewGauge("damaskpick_waiting", func() float64 { return float64(snapshot().Waiting) })
 	o.set.NewGauge("damaskpick_quarantined", func() float64 { return float64(snapshot().Quarantined) })
+	o.set.NewGauge("damaskpick_suspect_requests", func() float64 { return float64(snapshot().SuspectRequests) })
 	o.set.NewGauge("damaskpick_endpoint_connections_opened_total", func() float64 { return float64(options.Dialed()) })
 	o.set.NewGauge("damaskpick_peer_failures_total", func() float64 { return float64(options.PeerFailures()) })
 	return o
