Limit the log lines for reports of broken attempts

Cause: the coordinator gets a report for each attempt that breaks, thousands when a data centre fails, and wrote a line for each.

Change: BrokenAttemptReported is among the routine events, whose lines are limited.

Result: the tests of the observer and the modeler pass; the lines under such a load were not measured.

--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -75,9 +75,11 @@
 // ServeHTTP serves the metrics in the Prometheus text format.
 func (o *Observer) ServeHTTP(w http.ResponseWriter, _ *http.Request) { o.set.WritePrometheus(w) }
 
-// routineEvents holds the frequent events that are written to Options.Requests, whose lines may be rate-limited: placements of requests, and
-// endpoints that a node reads for the first time.
-var routineEvents = map[modeler.LogEventName]bool{modeler.LogEventPlaced: true, modeler.LogEventEndpointKnown: true}
+// routineEvents holds the frequent events that are written to Options.Requests, whose lines may be rate-limited: placements of requests,
+// endpoints that a node reads for the first time, and reports of broken attempts, of which a data centre that fails causes thousands.
+var routineEvents = map[modeler.LogEventName]bool{
+	modeler.LogEventPlaced: true, modeler.LogEventEndpointKnown: true, modeler.LogEventBrokenAttemptReported: true,
+}
 
 // LogDecision counts a decision of the control goroutine and writes a log line for it.
 func (o *Observer) LogDecision(event modeler.LogEvent) {
