Hold up requests after a quarantine on nodes that start later

Cause: a digest lists the count of a request for ten minutes after its quarantine, but a node that started meanwhile took it for an old count and placed the request by itself.

Change: a count of a request without a quarantine that is older than a minute marks the quarantine as ended. Clearer names for two identifiers, and a comment that claimed too much.

Result: TestNewNodeHoldsUpSuspects failed in one of four cases and passes.

--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -27,8 +27,8 @@
 	maxSuspects       = 16
 	maxRecentParts    = 8
 	maxRecentRequests = 24
-	// reportTime is how long heartbeats repeat what this node has reported of broken attempts, in case the report was lost: four heartbeats.
-	reportTime = time.Second
+	// reportRepeatTime is how long heartbeats repeat what this node has reported of broken attempts, in case the report was lost: four heartbeats.
+	reportRepeatTime = time.Second
 	// maxTerms is the maximum number of endpoints whose terms are in a digest. clearedTermsTime is how long it lists endpoints that no longer name a
 	// limit: several digests.
 	maxTerms         = 160
@@ -124,11 +124,11 @@
 	return list[:min(len(list), limit)]
 }
 
-// reportedSuspects returns the fingerprints of the requests of which this node has reported a broken attempt within reportTime.
+// reportedSuspects returns the fingerprints of the requests of which this node has reported a broken attempt within reportRepeatTime.
 func reportedSuspects(now time.Time, world *modeler.World) []modeler.Suspect {
 	var list []modeler.Suspect
 	for fingerprint, brokenAttempts := range world.BrokenAttempts.All() {
-		if !brokenAttempts.SharedPart && now.Sub(brokenAttempts.At) < reportTime && brokenAttempts.ReportedBy(world.Self.Incarnation) {
+		if !brokenAttempts.SharedPart && now.Sub(brokenAttempts.At) < reportRepeatTime && brokenAttempts.ReportedBy(world.Self.Incarnation) {
 			suspect, _ := brokenAttempts.Suspect(fingerprint, now)
 			list = append(list, suspect)
 		}
--- a/internal/fleet/modeler/broken_attempt.go
+++ b/internal/fleet/modeler/broken_attempt.go
@@ -28,20 +28,20 @@
 	}
 }
 
-// comparable reports whether the attempts have times on the same process's clock, which the delays of their reports do not change.
-func (a BrokenAttempt) comparable(other BrokenAttempt) bool {
+// sameClock reports whether the attempts have times on the clock of one process, which the delays of their reports do not change.
+func (a BrokenAttempt) sameClock(other BrokenAttempt) bool {
 	return a.Process == other.Process && a.ProcessEndedAt != 0 && other.ProcessEndedAt != 0
 }
 
 // same reports whether both are reports of one attempt.
 func (a BrokenAttempt) same(other BrokenAttempt) bool {
-	return a.comparable(other) && a.ID == other.ID && a.ProcessEndedAt == other.ProcessEndedAt
+	return a.sameClock(other) && a.ID == other.ID && a.ProcessEndedAt == other.ProcessEndedAt
 }
 
 // overlaps reports whether both attempts ran at the same time and ended within the observation time. Attempts of one process are compared by its
 // clock: one that was placed when the other had broken follows it, however their reports arrive.
 func (a BrokenAttempt) overlaps(other BrokenAttempt) bool {
-	if a.comparable(other) {
+	if a.sameClock(other) {
 		between := (a.ProcessEndedAt - other.ProcessEndedAt).Abs()
 		return a.ProcessPlacedAt < other.ProcessEndedAt && other.ProcessPlacedAt < a.ProcessEndedAt && between < ObservationTime
 	}
--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -266,6 +266,10 @@
 		}
 		b.Until = until
 	}
+	if !b.SharedPart && b.Quarantines == 0 && suspect.QuarantinedFor <= 0 && suspect.Age >= suspectTime {
+		// Such an old count of a request is listed only after a quarantine.
+		b.From, b.Until, b.Quarantines = now, now, 1
+	}
 	if suspect.Confirmed && !b.confirmed() {
 		b.ProbedAt, b.At = now, now
 	}
--- a/internal/fleet/placer/suspects.go
+++ b/internal/fleet/placer/suspects.go
@@ -18,8 +18,8 @@
 	return ok && brokenAttempts.RunsAlone(now)
 }
 
-// held reports whether a request waits until it is known how the last one with its fingerprint ends. After the observation time the next attempt counts
-// even if it overlaps the last one, so that a request that runs for long holds up others no longer than that.
+// held reports whether a request waits until it is known how the last one with its fingerprint ends, but not for longer than the observation time: first
+// events can take seconds, and attempts that end at such distances all count.
 func held(now time.Time, world *modeler.World, request modeler.Request) bool {
 	if !runsAlone(now, world, request) {
 		return false
--- a/internal/fleet/watcher/takeover_test.go
+++ b/internal/fleet/watcher/takeover_test.go
@@ -173,3 +173,28 @@
 		})
 	}
 }
+
+// TestNewNodeHoldsUpSuspects guards against a node that has just started and places a request by itself of which one at a time runs in the fleet.
+func TestNewNodeHoldsUpSuspects(t *testing.T) {
+	tests := []struct {
+		name    string
+		suspect modeler.Suspect
+		want    bool
+	}{
+		{"broken a short time ago", modeler.Suspect{Fingerprint: 1, Count: 1, Age: 10 * time.Second}, true},
+		{"quarantined", modeler.Suspect{Fingerprint: 1, Count: 3, Age: 10 * time.Second, QuarantinedFor: 50 * time.Second}, true},
+		{"after a quarantine", modeler.Suspect{Fingerprint: 1, Count: 3, Age: 5 * time.Minute}, true},
+		{"shared part", modeler.Suspect{Fingerprint: 1, Count: 1, Age: 10 * time.Second, SharedPart: true}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n"})
+			world.Coordinator = "c"
+			message := modeler.Message{From: "c", Incarnation: 1, Body: modeler.Digest{Suspects: []modeler.Suspect{tt.suspect}}}
+			watcher.New().Run(&modeler.Tick{Now: start, Events: []modeler.Event{modeler.PeerReceived{Message: message}}}, world)
+			brokenAttempts, _ := world.BrokenAttempts.Get(1)
+			assert.Equal(t, brokenAttempts.RunsAlone(start), tt.want)
+			assert.Equal(t, brokenAttempts.Quarantined(start), tt.suspect.QuarantinedFor > 0)
+		})
+	}
+}
