Let the raw endpoint of the long answers announce that it closes

Its endpoint closes each connection after the answer without saying so, so that the node may keep it and send the next booking on it just before the end arrives. A booking that may have run is not sent again, so that 502 is right. The fault is of the stand-in: all five cases that failed follow one with a length or chunks, whose connection is kept; none follows one that ends with its connection.

Change: the endpoint sends Connection: close. The checks are the same.

--- a/internal/proof/soaker/long_answers_test.go
+++ b/internal/proof/soaker/long_answers_test.go
@@ -26,13 +26,13 @@
 }
 
 // answerLong answers with a body of the length in the query, in the framing that it names, and closes after the number of bytes of the body that it
-// names.
+// names. It says that it closes: otherwise the next request may reach the connection before its end does, and cannot be sent again.
 func answerLong(conn net.Conn, request *http.Request) bool {
 	query := request.URL.Query()
 	length, _ := strconv.Atoi(query.Get("length"))
 	cut, _ := strconv.Atoi(query.Get("cut"))
 	body := longBody(length)[:cut]
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n", request.Header.Get("Request-Id"))
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nConnection: close\r\n", request.Header.Get("Request-Id"))
 	switch query.Get("framing") {
 	case "length":
 		_, _ = fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n%s", length, body)
