--- a/internal/proof/soaker/deployment_test.go
+++ b/internal/proof/soaker/deployment_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -51,7 +53,9 @@
 
 // instance is an entry node. It keeps its settings and addresses when its process is restarted.
 type instance struct {
-	settingsPath  string
+	settingsPath string
+	// descriptors is the most descriptors that the process may have open; zero means no limit of the test.
+	descriptors   int
 	callerAddress string
 	readyAddress  string
 	// callerLink is the link from callers to the node, storeLink the link from the node to the store.
@@ -66,7 +70,7 @@
 }
 
 // memoryLimit is the memory limit in the settings of the nodes, in bytes.
-const memoryLimit = 200e6
+const memoryLimit = 200_000_000
 
 // graceSeconds is the grace period in the settings of the nodes.
 const graceSeconds = 4
@@ -79,6 +83,10 @@
 	work  time.Duration
 	// callTimeout is the timeout of the routes that are not streams.
 	callTimeout time.Duration
+	// memory is the memory limit in the settings of the nodes in bytes; zero means memoryLimit. descriptors is the most descriptors that a process may
+	// have open; zero means no limit of the test. bodyBytes is the operators' limit of bodies; zero means that of platformtest.Configuration.
+	memory, descriptors int
+	bodyBytes           int
 }
 
 // withScale returns the options with a multiple of the nodes and slots.
@@ -94,14 +102,14 @@
 	endpoints     []*platformtest.Endpoint
 	endpointLinks []*proxy
 	instances     []*instance
-	callTimeout   time.Duration
+	options       options
 	// version is the version of the newest configuration in the store.
 	version int
 }
 
 func newDeployment(t *testing.T, o options) *deployment {
 	t.Helper()
-	d := &deployment{store: platformtest.NewStore(), callTimeout: o.callTimeout}
+	d := &deployment{store: platformtest.NewStore(), options: o}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(func() { _ = server.Config.Close() })
 	d.configure()
@@ -131,14 +139,14 @@
 // configure puts the next version of the configuration into the store.
 func (d *deployment) configure() {
 	d.version++
-	d.store.Put(platform.TopicOperators, "config", platformtest.ConfigurationWithTimeout(d.version, d.callTimeout))
+	d.store.Put(platform.TopicOperators, "config", platformtest.ConfigurationWith(d.version, d.options.callTimeout, d.options.bodyBytes))
 }
 
 func (d *deployment) newInstance(t *testing.T, folder string, i int, store string) *instance {
 	t.Helper()
 	name := fmt.Sprintf("node-%d", i)
 	in := &instance{
-		callerAddress: freeAddress(t), readyAddress: freeAddress(t),
+		callerAddress: freeAddress(t), readyAddress: freeAddress(t), descriptors: d.options.descriptors,
 		settingsPath: filepath.Join(folder, name+".jsonc"), logPath: filepath.Join(folder, name+".log"),
 	}
 	in.storeLink = newProxy(t, func() string { return store })
@@ -146,7 +154,7 @@
 	settings := loader.Settings{
 		Node:   loader.Node{Name: name, IP: "127.0.0.1", DataCentre: fmt.Sprintf("dc-%d", i%3), Region: "r"},
 		Listen: loader.Listen{Callers: in.callerAddress, Ready: in.readyAddress, Addresses: freeAddress(t), PeerPorts: []int{freePort(t), 65535}},
-		Store:  loader.Store{Address: in.storeLink.address()}, Limits: loader.Limits{MemoryMB: memoryLimit / 1e6},
+		Store:  loader.Store{Address: in.storeLink.address()}, Limits: loader.Limits{MemoryMB: cmp.Or(d.options.memory, memoryLimit) / 1e6},
 		Bounds: loader.Bounds{
 			GraceSeconds: graceSeconds, RetryBudgetRatio: 0.2, RetryBudgetSlack: 100, BudgetWindowSeconds: 10, ColdFactor: 1.5, ColdSlack: 5,
 		},
@@ -209,6 +217,9 @@
 	out, err := os.OpenFile(in.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(t, err)
 	process := exec.Command(binary, "fleet", "--settings", in.settingsPath)
+	if in.descriptors > 0 {
+		process = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" fleet --settings "$3"`, "sh", strconv.Itoa(in.descriptors), binary, in.settingsPath)
+	}
 	process.Stdout, process.Stderr = out, out
 	assert.NilError(t, process.Start())
 	exited := make(chan struct{})
