Charge callers' bodies, answers and connections to an account before they are held

Cause: bodies were read whole before the credential and the route were checked, and nothing bounded their sum over all connections, nor the connections themselves.

Change: internal/web/accountant keeps a row for each connection and decides who gives way: by bytes held times the time stood when memory is short, by the time stood when connections are. internal/web/charger connects it to the HTTP servers of the node. Refusals are 503 with a Retry-After, 408 at the request's own deadline and 413 before a byte is read; credential and route are checked first.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -35,6 +37,8 @@
 	"damaskpick.example/damaskpick/internal/fleet/throttler"
 	"damaskpick.example/damaskpick/internal/fleet/watcher"
 	"damaskpick.example/damaskpick/internal/telemetry/logger"
+	"damaskpick.example/damaskpick/internal/web/accountant"
+	"damaskpick.example/damaskpick/internal/web/charger"
 	"damaskpick.example/damaskpick/platform"
 )
 
@@ -69,6 +73,8 @@
 	loop     *runner.Loop
 	observer *observer.Observer
 	budget   *limiter.Budget
+	// callers charges the connections and requests of callers.
+	callers *charger.Charger
 	// active is the number of callers' requests that are being served.
 	active atomic.Int64
 	// serving is done, with the cause forwarder.ErrStopping, when the node cuts off the requests that are still running.
@@ -126,6 +132,12 @@
 		Self: self, Events: events, Requests: requests, Snapshot: func() *modeler.Snapshot { return n.loop.Snapshot() },
 		Dialed: pool.Dialed, PeerFailures: peers.Failed, Retries: n.budget.Retries,
 	})
+	account := accountant.New(accountant.Options{
+		Bytes: settings.Limits.HeldBytes(), Connections: settings.Limits.CallerConnections(accountant.ConnectionBytes, processDescriptors()),
+		Now: time.Now, OnEnded: n.observer.GaveWay,
+	})
+	n.observer.WatchAccount(account.Usage)
+	n.callers = charger.New(account, maxHeaderBytes)
 	instrumented := n.observer.Store(store)
 	followers := n.followers(instrumented)
 	quarantines := follower.NewQuarantines(instrumented, platform.TopicQuarantines, func(e modeler.Event) { n.loop.Post(e) })
@@ -135,7 +147,7 @@
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	idleCloser := &listener.IdleCloser{Snapshot: n.loop.Snapshot}
-	servers, err := n.listen(ctx, idleCloser, n.handlers(self, pool, reserver))
+	servers, err := n.listen(ctx, idleCloser, n.callers, n.handlers(self, pool, reserver))
 	if err != nil {
 		return errors.Join(err, closePeers())
 	}
@@ -187,6 +199,15 @@
 	return nil
 }
 
+// processDescriptors returns the number of descriptors that the process may open.
+func processDescriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // systems returns the systems in the order in which they run in each tick.
 func systems(settings loader.Settings) []modeler.System {
 	return []modeler.System{
@@ -318,7 +339,7 @@
 		Control: n.loop, Protocol: traffic, Pool: pool, Reserver: reserver, Self: self, OnRetry: n.observer.Retried,
 		Budget: n.budget,
 	}
-	callers := &listener.CallerHandler{Decoder: traffic, Forwarder: forward, Snapshot: n.loop.Snapshot, Observer: n.observer, Configured: n.loop.Configured()}
+	callers := &listener.CallerHandler{Decoder: traffic, Forwarder: forward, Snapshot: n.loop.Snapshot, Observer: n.observer, Configured: n.loop.Configured(), Charger: n.callers}
 	addresses := listener.Addresses{
 		Snapshot: n.loop.Snapshot, Decode: platform.AddressQuery, Write: platform.WriteAddresses, TTL: loader.Seconds(n.settings.Addresses.KeepSeconds),
 	}
--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -270,7 +270,7 @@
 		{"/stream/1", http.StatusBadGateway},
 	}
 	s := newSite(t)
-	s.store.Put(platform.TopicOperators, "config", platformtest.ConfigurationWithTimeout(2, 10*time.Second))
+	s.store.Put(platform.TopicOperators, "config", platformtest.ConfigurationWith(2, 10*time.Second, 0))
 	n := s.start(t, "n1", "dc-a")
 	waitFor(t, func() bool { return n.call("/stock/1", "first").code == http.StatusOK })
 	for _, e := range s.endpoints {
--- a/internal/fleet/assembler/server.go
+++ b/internal/fleet/assembler/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/listener"
+	"damaskpick.example/damaskpick/internal/web/charger"
 	"damaskpick.example/damaskpick/internal/web/drainer"
 )
 
@@ -26,7 +27,7 @@
 }
 
 // listen opens listeners on all addresses before any request is served. If one fails, it closes the others and returns the error.
-func (n *Node) listen(ctx context.Context, idleCloser *listener.IdleCloser, handlers map[string]*pathRouter) ([]server, error) {
+func (n *Node) listen(ctx context.Context, idleCloser *listener.IdleCloser, callers *charger.Charger, handlers map[string]*pathRouter) ([]server, error) {
 	var servers []server
 	for address, handler := range handlers {
 		l, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
@@ -39,8 +40,11 @@
 		drain := drainer.New()
 		servers = append(servers, server{listener: drain.Listener(l), drainer: drain, accepted: make(chan struct{}), http: &http.Server{
 			Handler: drain.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ConnContext: drain.ConnContext,
+			ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+				return callers.ConnContext(drain.ConnContext(ctx, conn), conn)
+			},
 			ConnState: func(conn net.Conn, state http.ConnState) {
+				callers.Track(conn, state)
 				idleCloser.Track(conn, state)
 				drain.Track(conn, state)
 			},
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -213,18 +213,46 @@
 	return f.classifyError(ctx, p, err, modeler.Broken)
 }
 
-// forwardWhole forwards an answer that is not a stream after reading it completely, or as it arrives if it is longer than maxBufferedBytes.
+// firstAnswerBytes is the space in bytes with which reading an answer begins. It doubles as the answer arrives.
+const firstAnswerBytes = 2 << 10
+
+// readWhole reads an answer to its end, or until it exceeds maxBufferedBytes or the memory of the node is short. It reports whether it has read the
+// end.
+func readWhole(ctx context.Context, memory Memory, response *dialer.Response) ([]byte, bool, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := min(max(2*cap(body), firstAnswerBytes), maxBufferedBytes+1)
+			if memory.Charge(ctx, int64(cap(body)+size)) != nil {
+				return body, false, ctx.Err()
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxBufferedBytes:
+			return body, false, nil
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+}
+
+// forwardWhole forwards an answer that is not a stream after reading it completely, or as it arrives if it is too long for that.
 func (f *Forwarder) forwardWhole(ctx context.Context, p *progress, guard *silenceGuard, response *dialer.Response, sink Sink) (modeler.Outcome, bool) {
 	if response.Length > maxAnswerBytes {
 		f.countPossibleRun(p)
 		return modeler.Garbled, false
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, whole, err := readWhole(ctx, p.call.Memory, response)
 	if err != nil {
 		f.countPossibleRun(p)
 		return f.classifyReadError(ctx, p, guard, err), false
 	}
-	long := len(body) > maxBufferedBytes
+	long := !whole
 	if impliesNotRun(response.StatusCode) || long && response.StatusCode >= http.StatusInternalServerError {
 		// The former statuses promise callers that the request did not run, but the endpoint did not state that. A long failure is not kept.
 		f.countPossibleRun(p)
@@ -293,7 +321,7 @@
 func (f *Forwarder) forwardStream(
 	ctx context.Context, p *progress, id modeler.RequestID, guard *silenceGuard, response *dialer.Response, sink Sink,
 ) (modeler.Outcome, bool) {
-	events := newEventReader(response.Body)
+	events := newEventReader(response.Body, func(bytes int) error { return p.call.Memory.Charge(ctx, int64(bytes)) })
 	started := false
 	p.possibleRuns++
 	for {
@@ -309,6 +337,11 @@
 			}
 			return modeler.Answered, true
 		}
+		if errors.Is(err, errNoMemory) {
+			// The endpoint is not to blame.
+			p.mayHaveRun = true
+			return modeler.Abandoned, false
+		}
 		if errors.Is(err, errNoEvent) {
 			p.mayHaveRun = true
 			return modeler.Garbled, false
--- a/internal/fleet/forwarder/event.go
+++ b/internal/fleet/forwarder/event.go
@@ -12,6 +12,9 @@
 // errNoEvent reports bytes in a stream that are no event, such as the header of another response.
 var errNoEvent = errors.New("stream contains bytes that are no event")
 
+// errNoMemory reports an event for which the node has no memory.
+var errNoMemory = errors.New("no memory for an event")
+
 // event is one server-sent event, including the empty line that ends it.
 type event struct {
 	data []byte
@@ -23,6 +26,8 @@
 // eventReader splits a stream into events. Lines end with "\n" or "\r\n".
 type eventReader struct {
 	source io.Reader
+	// charge is called with the size of the buffer before it grows.
+	charge func(bytes int) error
 	buffer []byte
 	// start and end delimit the bytes of buffer that were read but not returned yet.
 	start, end int
@@ -34,8 +39,8 @@
 // eventBufferSize is the initial size of the buffer in bytes. It holds a typical event; larger ones grow the buffer.
 const eventBufferSize = 4 << 10
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, buffer: make([]byte, eventBufferSize)}
+func newEventReader(source io.Reader, charge func(bytes int) error) *eventReader {
+	return &eventReader{source: source, charge: charge, buffer: make([]byte, eventBufferSize)}
 }
 
 // buffered reports whether a complete event is in the buffer.
@@ -53,7 +58,7 @@
 }
 
 // next returns the next event, whose data is valid until the next call. It returns io.EOF at the end of the stream, errTruncatedEvent if the
-// stream ends inside an event or the event is larger than maxEventBytes, and errNoEvent for bytes that are no event.
+// stream ends inside an event or the event is larger than maxEventBytes, errNoMemory if there is no memory for it, and errNoEvent for bytes that are no event.
 func (r *eventReader) next() (event, error) {
 	for {
 		if r.buffered() {
@@ -70,6 +75,10 @@
 			if len(r.buffer) >= maxEventBytes {
 				return event{}, errTruncatedEvent
 			}
+			const copied = 3 // The buffer and the one of twice its size that replaces it.
+			if r.charge(copied*len(r.buffer)) != nil {
+				return event{}, errNoMemory
+			}
 			r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 		}
 		n, err := r.source.Read(r.buffer[r.end:])
--- a/internal/fleet/forwarder/event_test.go
+++ b/internal/fleet/forwarder/event_test.go
@@ -40,7 +40,7 @@
 			{"whole", func(r io.Reader) io.Reader { return r }}, {"byte by byte", iotest.OneByteReader}, {"data with error", iotest.DataErrReader},
 		} {
 			t.Run(tt.name+"/"+source.name, func(t *testing.T) {
-				reader := newEventReader(source.wrap(strings.NewReader(tt.input)))
+				reader := newEventReader(source.wrap(strings.NewReader(tt.input)), func(int) error { return nil })
 				var ids []string
 				var passed bytes.Buffer
 				for {
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -51,6 +51,14 @@
 	Fingerprint       modeler.Fingerprint
 	// SharedParts holds the fingerprints of the parts of the request that others may share: of its prompt, and of a target with another query.
 	SharedParts []modeler.Fingerprint
+	// Memory is charged for what is held of the answer.
+	Memory Memory
+}
+
+// Memory is the account of what a request holds.
+type Memory interface {
+	// Charge sets the bytes that are held for the answer. If it fails, they must not be held. A smaller charge never fails.
+	Charge(ctx context.Context, bytes int64) error
 }
 
 // Status is the final state of a request. A refusal promises the caller that the request did not run.
--- a/internal/fleet/forwarder/forwarder_test.go
+++ b/internal/fleet/forwarder/forwarder_test.go
@@ -122,9 +122,15 @@
 		Route:   modeler.Route{Kind: kind, Timeout: 2 * time.Second, Target: 150 * time.Millisecond, GapTarget: 250 * time.Millisecond, MaxRuns: attempts, Resumable: true},
 		Service: modeler.Service{ID: platformtest.PlainService}, Member: modeler.Member{ID: "crew-1"},
 		Method: http.MethodPost, URI: path, Host: platformtest.Host, Header: header, Body: []byte("payload"), Arrived: time.Now(),
+		Memory: ample{},
 	}
 }
 
+// ample is an account that is never short.
+type ample struct{}
+
+func (ample) Charge(context.Context, int64) error { return nil }
+
 func events(count int) string {
 	var b strings.Builder
 	for n := 1; n <= count; n++ {
--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,6 +19,7 @@
 	"damaskpick.example/damaskpick/internal/fleet/forwarder"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/internal/fleet/observer"
+	"damaskpick.example/damaskpick/internal/web/charger"
 )
 
 const (
@@ -37,6 +37,9 @@
 	// store or another node can be reached has used up its retry.
 	startRetryAfter  = 2 * time.Second
 	startRetrySpread = time.Second
+	// shortRetryAfter and shortRetrySpread are the same for requests for whose bodies there was no memory. What holds it gives way within a second.
+	shortRetryAfter  = 300 * time.Millisecond
+	shortRetrySpread = time.Second
 )
 
 // RequestDecoder decodes the header of a caller's request.
@@ -52,6 +55,7 @@
 	Observer  *observer.Observer
 	// Configured is closed once Snapshot has a configuration.
 	Configured <-chan struct{}
+	Charger    *charger.Charger
 	// held is the number of requests that wait for it.
 	held atomic.Int64
 }
@@ -86,35 +90,45 @@
 	}
 	configuration := snapshot.Configuration
 	fields := c.Decoder.RequestFields(r.Header)
-	if maxHeader := configuration.Limits.HeaderBytes; maxHeader > 0 && headerSize(r) > maxHeader {
-		http.Error(w, "header too large", http.StatusRequestHeaderFieldsTooLarge)
-		c.Observer.Rejected(fields.ID, http.StatusRequestHeaderFieldsTooLarge, configuration.Version, snapshot.OperatorsAge)
+	headBytes := headerSize(r)
+	if maxHeader := configuration.Limits.HeaderBytes; maxHeader > 0 && headBytes > maxHeader {
+		c.reject(w, snapshot, fields, http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
-	limit := configuration.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	account, closeAccount, err := c.Charger.NewRequest(r, int64(headBytes))
 	if err != nil {
 		c.rejectBody(w, snapshot, fields, err)
 		return
 	}
-	if !configuration.Loaded() {
-		snapshot = c.awaitConfiguration(r.Context(), fields.Timeout)
-		configuration = snapshot.Configuration
+	defer closeAccount()
+	var to target
+	if configuration.Loaded() {
+		// The body is read only if the request will be forwarded.
+		var code int
+		if to, code = match(configuration, fields, r); code != http.StatusOK {
+			c.reject(w, snapshot, fields, code)
+			return
+		}
 	}
-	if !configuration.Loaded() {
-		refuse(w, http.StatusServiceUnavailable, startRetryAfter+rand.N(startRetrySpread))
-		c.Observer.Rejected(fields.ID, http.StatusServiceUnavailable, 0, snapshot.OperatorsAge)
+	body, err := account.ReadBody(w, r, bodyLimit(configuration), forwarder.Deadline(forwarder.Call{Fields: fields, Route: to.route, Arrived: arrived}))
+	if err != nil {
+		c.rejectBody(w, snapshot, fields, err)
 		return
 	}
-	call, code := c.call(configuration, fields, r, body, arrived)
-	if code != http.StatusOK {
-		http.Error(w, http.StatusText(code), code)
-		c.Observer.Rejected(fields.ID, code, configuration.Version, snapshot.OperatorsAge)
-		return
+	if !configuration.Loaded() {
+		if snapshot = c.awaitConfiguration(r.Context(), fields.Timeout); !snapshot.Configuration.Loaded() {
+			refuse(w, http.StatusServiceUnavailable, startRetryAfter+rand.N(startRetrySpread))
+			c.Observer.Rejected(fields.ID, http.StatusServiceUnavailable, 0, snapshot.OperatorsAge)
+			return
+		}
+		var code int
+		if to, code = match(snapshot.Configuration, fields, r); code != http.StatusOK {
+			c.reject(w, snapshot, fields, code)
+			return
+		}
 	}
+	call := newCall(to, fields, r, body, arrived)
+	call.Memory = account
 	sink := &responseSink{writer: w, control: http.NewResponseController(w), writeDeadline: forwarder.Deadline(call).Add(writeGrace)}
 	result := c.Forwarder.Serve(r.Context(), call, sink)
 	c.Observer.Ended(call, result)
@@ -122,6 +136,20 @@
 	finish(w, result)
 }
 
+// bodyLimit returns the largest body in bytes that the operators allow.
+func bodyLimit(configuration modeler.Configuration) int64 {
+	if limit := configuration.Limits.BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultBodyLimit
+}
+
+// reject answers a request that is not forwarded with an error.
+func (c *CallerHandler) reject(w http.ResponseWriter, snapshot *modeler.Snapshot, fields modeler.RequestFields, code int) {
+	http.Error(w, http.StatusText(code), code)
+	c.Observer.Rejected(fields.ID, code, snapshot.Configuration.Version, snapshot.OperatorsAge)
+}
+
 // headerSize returns the size in bytes of the header as it was sent, without optional white space.
 func headerSize(r *http.Request) int {
 	const lineOverhead = len(": \r\n")
@@ -134,48 +162,64 @@
 	return size
 }
 
-// rejectBody answers 413 if the body is too large. Other errors in reading the body end the connection.
+// rejectBody answers a request whose body was not read to its end, and ends the connection, on which the rest would follow. The request has not
+// run. If the caller has disconnected, there is nobody to answer.
 func (c *CallerHandler) rejectBody(w http.ResponseWriter, snapshot *modeler.Snapshot, fields modeler.RequestFields, err error) {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		// The rest of the body is not read, so the connection cannot be reused.
-		w.Header().Set("Connection", "close")
-		http.Error(w, "body too large", http.StatusRequestEntityTooLarge)
-		c.Observer.Rejected(fields.ID, http.StatusRequestEntityTooLarge, snapshot.Configuration.Version, snapshot.OperatorsAge)
-		return
+	code := http.StatusServiceUnavailable
+	switch {
+	case errors.Is(err, charger.ErrTooLarge):
+		code = http.StatusRequestEntityTooLarge
+	case errors.Is(err, charger.ErrLate):
+		code = http.StatusRequestTimeout
+	case errors.Is(err, charger.ErrGaveWay):
+	default:
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", formatSeconds(shortRetryAfter+rand.N(shortRetrySpread)))
 	}
-	// The caller disconnected before it had sent the whole body.
-	panic(http.ErrAbortHandler)
+	c.reject(w, snapshot, fields, code)
 }
 
-// call matches a request to its route, member and service. If one is missing, it returns the status code for the caller: 404, or 401 for a
+// target is what a request was matched to.
+type target struct {
+	route   modeler.Route
+	service modeler.Service
+	member  modeler.Member
+}
+
+// match matches a request to its route, member and service. If one is missing, it returns the status code for the caller: 404, or 401 for a
 // missing or unknown credential.
-func (c *CallerHandler) call(
-	configuration modeler.Configuration, fields modeler.RequestFields, r *http.Request, body []byte, arrived time.Time,
-) (forwarder.Call, int) {
+func match(configuration modeler.Configuration, fields modeler.RequestFields, r *http.Request) (target, int) {
 	host := r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
 	route, ok := configuration.Route(strings.ToLower(host), r.URL.Path)
 	if !ok {
-		return forwarder.Call{}, http.StatusNotFound
+		return target{}, http.StatusNotFound
 	}
 	var member modeler.Member
 	if configuration.RequiresCredential() && !route.Anonymous {
 		if member, ok = configuration.Member(fields.Credential); !ok {
-			return forwarder.Call{}, http.StatusUnauthorized
+			return target{}, http.StatusUnauthorized
 		}
 	}
 	service, ok := configuration.Service(route.Pick(rand.Float64()))
 	if !ok {
-		return forwarder.Call{}, http.StatusNotFound
+		return target{}, http.StatusNotFound
 	}
+	return target{route: route, service: service, member: member}, http.StatusOK
+}
+
+// newCall returns the call for a request.
+func newCall(to target, fields modeler.RequestFields, r *http.Request, body []byte, arrived time.Time) forwarder.Call {
 	return forwarder.Call{
-		Fields: fields, Route: route, Service: service, Member: member, Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: r.Header, Body: body, Arrived: arrived, Fingerprint: fingerprint(r.URL, member.ID, body),
-		SharedParts: append(partFingerprints(service.ID, fields.SharedParts), pathFingerprint(service.ID, r.URL, member.ID, body)...),
-	}, http.StatusOK
+		Fields: fields, Route: to.route, Service: to.service, Member: to.member, Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		Header: r.Header, Body: body, Arrived: arrived, Fingerprint: fingerprint(r.URL, to.member.ID, body),
+		SharedParts: append(partFingerprints(to.service.ID, fields.SharedParts), pathFingerprint(to.service.ID, r.URL, to.member.ID, body)...),
+	}
 }
 
 // fingerprint returns a hash of path, query, member and body, by which repeats of a request are recognised.
@@ -236,10 +280,12 @@
 // refuse answers that the request did not run and when the caller may retry it. Requests that are rejected for another reason (no route,
 // invalid credential, too large) get no Retry-After, because a retry would be rejected too.
 func refuse(w http.ResponseWriter, code int, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	w.Header().Set("Retry-After", formatSeconds(after))
 	http.Error(w, "not run", code)
 }
 
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // responseSink is a forwarder.Sink that writes the answer to the caller.
 type responseSink struct {
 	writer  http.ResponseWriter
--- a/internal/fleet/listener/listener_test.go
+++ b/internal/fleet/listener/listener_test.go
@@ -20,6 +20,8 @@
 	"damaskpick.example/damaskpick/internal/fleet/listener"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/internal/fleet/observer"
+	"damaskpick.example/damaskpick/internal/web/accountant"
+	"damaskpick.example/damaskpick/internal/web/charger"
 	"damaskpick.example/damaskpick/platform"
 	"damaskpick.example/damaskpick/platform/platformtest"
 )
@@ -46,6 +48,7 @@
 	t.Cleanup(closePool)
 	return &listener.CallerHandler{
 		Decoder: platform.Traffic{}, Snapshot: control.Snapshot,
+		Charger: charger.New(accountant.New(accountant.Options{Bytes: 10 << 20, Connections: 100, Now: time.Now}), 64<<10),
 		Forwarder: &forwarder.Forwarder{
 			Control: control, Protocol: platform.Traffic{}, Pool: pool,
 			Budget: limiter.NewBudget(limiter.Options{Slack: 100, Window: time.Second}, time.Now),
--- a/internal/fleet/loader/settings.go
+++ b/internal/fleet/loader/settings.go
@@ -53,11 +53,46 @@
 type Limits struct {
 	// MemoryMB is the memory that the process may use, in units of 1,000,000 bytes.
 	MemoryMB int
+	// HeldMB bounds the memory that is held for callers' requests and answers, in the same units. Zero means a fifth of MemoryMB.
+	HeldMB float64
+	// Descriptors is the number of descriptors that the process may open. Zero means the limit of the process.
+	Descriptors int
 	// CPUShare is the fraction of a core that the process may use, and CPUCores the speed of that core relative to a usual one. Zero means
 	// unknown.
 	CPUShare, CPUCores float64
 }
 
+const (
+	// heldFraction is the fraction of MemoryMB that HeldMB is by default. The runtime uses up to twice the memory that it holds, within its own limit.
+	heldFraction = 0.2
+	// connectionFraction is the fraction of MemoryMB that the open connections of callers may take, and descriptorFraction the fraction of Descriptors:
+	// a request needs another one for its endpoint.
+	connectionFraction = 0.1
+	descriptorFraction = 0.5
+	megabyte           = 1_000_000
+	// heldLimit is the largest fraction of MemoryMB that HeldMB may be.
+	heldLimit = 0.4
+)
+
+// HeldBytes returns the memory that may be held for callers' requests and answers.
+func (l Limits) HeldBytes() int64 {
+	if l.HeldMB > 0 {
+		return int64(l.HeldMB * megabyte)
+	}
+	return int64(heldFraction * float64(l.MemoryMB) * megabyte)
+}
+
+// CallerConnections returns the number of connections that callers may have open when each takes connectionBytes and the process may open
+// processDescriptors.
+func (l Limits) CallerConnections(connectionBytes int64, processDescriptors int) int {
+	descriptors := processDescriptors
+	if l.Descriptors > 0 {
+		descriptors = min(descriptors, l.Descriptors)
+	}
+	byMemory := connectionFraction * float64(l.MemoryMB) * megabyte / float64(connectionBytes)
+	return max(1, int(min(byMemory, descriptorFraction*float64(descriptors))))
+}
+
 // MilliCores returns the processor capacity in thousandths of a core; zero if it is unknown.
 func (l Limits) MilliCores() int { return int(1000 * l.CPUShare * l.CPUCores) }
 
@@ -152,6 +187,9 @@
 		add("Listen.MetricsPort", "must be a port between 1 and 65535, or 0 to disable metrics")
 	}
 	s.checkNumbers(add)
+	if s.Limits.HeldMB > heldLimit*float64(s.Limits.MemoryMB) {
+		add("Limits.HeldMB", "must be at most %v of Limits.MemoryMB", heldLimit)
+	}
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
@@ -166,6 +204,8 @@
 		positive bool
 	}{
 		{"Limits.MemoryMB", float64(s.Limits.MemoryMB), true},
+		{"Limits.HeldMB", s.Limits.HeldMB, false},
+		{"Limits.Descriptors", float64(s.Limits.Descriptors), false},
 		{"Limits.CPUShare", s.Limits.CPUShare, false},
 		{"Limits.CPUCores", s.Limits.CPUCores, false},
 		{"Bounds.GraceSeconds", s.Bounds.GraceSeconds, true},
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -13,6 +13,8 @@
 	LogEventNodeStopped LogEventName = "NodeStopped"
 	// LogEventSettingsChecked: Findings.
 	LogEventSettingsChecked LogEventName = "SettingsChecked"
+	// LogEventConnectionGaveWay: Address, Held, Received, Phase. At most one line a second.
+	LogEventConnectionGaveWay LogEventName = "ConnectionGaveWay"
 )
 
 // Log events about changes in a node's copy of the fleet's state. Each comment lists the fields.
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"damaskpick.example/damaskpick/internal/fleet/forwarder"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
@@ -34,11 +35,13 @@
 type Observer struct {
 	options Options
 	set     *metrics.Set
+	// gaveWayLines limits the log lines about connections that gave way, of which a crowd of clients causes thousands.
+	gaveWayLines *rate.Limiter
 }
 
 // New returns an observer whose gauges read the current values from the functions in options.
 func New(options Options) *Observer {
-	o := &Observer{options: options, set: metrics.NewSet()}
+	o := &Observer{options: options, set: metrics.NewSet(), gaveWayLines: rate.NewLimiter(1, 1)}
 	snapshot := options.Snapshot
 	node := fmt.Sprintf("damaskpick_node{node=%q,data_centre=%q}", string(options.Self.ID), string(options.Self.DataCentre))
 	o.set.NewGauge(node, func() float64 { return 1 })
