Charge the requests of damaskpick serve to an account, too

Cause: its handler read bodies of up to 8 MiB without a bound on their sum.

Change: Limits.HeldBytes (128 MiB) and Limits.Connections (4096) with defaults and checks; the listener and the handler use the account of the fleet's nodes. A request without memory gets 503 with code Overloaded, NotRun and a retry after 1 s.

--- a/internal/node/assembler/callers.go
+++ b/internal/node/assembler/callers.go
@@ -14,6 +14,8 @@
 	"damaskpick.example/damaskpick/internal/telemetry/collector"
 	"damaskpick.example/damaskpick/internal/telemetry/reporter"
 	"damaskpick.example/damaskpick/internal/traffic/forwarder"
+	"damaskpick.example/damaskpick/internal/web/accountant"
+	"damaskpick.example/damaskpick/internal/web/charger"
 	"damaskpick.example/damaskpick/internal/web/handler"
 	"damaskpick.example/damaskpick/internal/web/listener"
 )
@@ -28,16 +30,20 @@
 		Services: services{client: c.services, node: n.self.ID},
 		Observer: metrics, RequestTimeout: settings.Timeouts.Request.Std(), Log: n.log,
 	})
+	charges := charger.New(accountant.New(accountant.Options{
+		Bytes: settings.Limits.HeldBytes, Connections: settings.Limits.Connections, Now: time.Now,
+	}), int64(settings.Limits.HeaderBytes))
 	callers, err := handler.New(handler.Options{
 		Forwarder: n.forwarder, Snapshot: n.loop.Snapshot, Credentials: settings.Credentials,
 		Limits: settings.Limits, Timeouts: settings.Timeouts, Log: n.log, Metrics: metrics, Report: n.reporter, OnRefusal: metrics.Refused,
+		Charger: charges,
 	})
 	if err != nil {
 		return fmt.Errorf("create handler for callers: %w", err)
 	}
 	server, stop, err := listener.Listen(listener.Options{
 		Address: settings.Listen.Callers, Handler: n.routes(callers, c), Keys: settings.TLS.Callers,
-		HeaderBytes: settings.Limits.HeaderBytes, Log: n.log,
+		HeaderBytes: settings.Limits.HeaderBytes, Charger: charges, Log: n.log,
 	})
 	if err != nil {
 		return fmt.Errorf("listen on address for callers: %w", err)
--- a/internal/settings/loader/checker.go
+++ b/internal/settings/loader/checker.go
@@ -154,6 +154,8 @@
 func (c *checker) checkLimits() {
 	checkRange(c, "Limits.HeaderBytes", c.settings.Limits.HeaderBytes, 1<<10, 1<<20)
 	checkRange(c, "Limits.BodyBytes", c.settings.Limits.BodyBytes, 1<<10, 1<<30)
+	checkRange(c, "Limits.HeldBytes", c.settings.Limits.HeldBytes, heldBodies*c.settings.Limits.BodyBytes, 1<<40)
+	checkRange(c, "Limits.Connections", c.settings.Limits.Connections, 16, 1<<20)
 }
 
 func (c *checker) checkTimeouts() {
--- a/internal/settings/loader/default.go
+++ b/internal/settings/loader/default.go
@@ -9,10 +9,16 @@
 const (
 	DefaultHeaderBytes       = 16 << 10
 	DefaultBodyBytes   int64 = 8 << 20
+	DefaultHeldBytes   int64 = 128 << 20
+	DefaultConnections       = 4096
 	DefaultColdLimit         = 2
 	DefaultLevel             = "info"
 )
 
+// heldBodies is the smallest ratio of Limits.HeldBytes to Limits.BodyBytes: half of the account is for the connections of one address, and a body takes up
+// to twice its size while it is decoded.
+const heldBodies = 4
+
 // handoverTime is the part of the default Timeouts.Stop in which balances, holds and outcomes are handed over after the last stream.
 const handoverTime = 30 * time.Second
 
@@ -36,6 +42,8 @@
 	s.Timeouts = s.Timeouts.withDefaults()
 	s.Limits.HeaderBytes = orDefault(s.Limits.HeaderBytes, DefaultHeaderBytes)
 	s.Limits.BodyBytes = orDefault(s.Limits.BodyBytes, DefaultBodyBytes)
+	s.Limits.HeldBytes = orDefault(s.Limits.HeldBytes, max(DefaultHeldBytes, heldBodies*s.Limits.BodyBytes))
+	s.Limits.Connections = orDefault(s.Limits.Connections, DefaultConnections)
 	s.Log.Level = orDefault(s.Log.Level, DefaultLevel)
 	if s.Listen.PublicURL == "" && s.Listen.Callers != "" {
 		scheme := "http://"
--- a/internal/settings/loader/loader_test.go
+++ b/internal/settings/loader/loader_test.go
@@ -108,7 +108,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Timeouts, loader.DefaultTimeouts())
 	assert.Equal(t, s.Timeouts.Stop.Std(), 10*time.Minute+40*time.Second)
-	assert.Equal(t, s.Limits, loader.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20})
+	assert.Equal(t, s.Limits, loader.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, HeldBytes: 128 << 20, Connections: 4096})
 	assert.Equal(t, s.Listen.PublicURL, "https://127.0.0.1:1")
 	assert.Equal(t, s.Endpoints[0].ColdLimit, 2)
 	assert.Equal(t, s.Credentials[0].SHA256, strings.ToLower(hash))
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -99,10 +99,15 @@
 	RetryPart float64
 }
 
-// Limits bound what a caller may send. The defaults are DefaultHeaderBytes and DefaultBodyBytes.
+// Limits bound what a caller may send, and what all callers together may make the node hold. The defaults are DefaultHeaderBytes, DefaultBodyBytes,
+// DefaultHeldBytes and DefaultConnections.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeldBytes bounds the memory for requests that are being read or served, at least four times BodyBytes. Connections bounds the open connections
+	// of callers.
+	HeldBytes   int64
+	Connections int
 }
 
 // Timeouts bound waiting times. Zero values are replaced by those of DefaultTimeouts.
--- a/internal/web/handler/body.go
+++ b/internal/web/handler/body.go
@@ -4,36 +4,45 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
+
+	"damaskpick.example/damaskpick/internal/control/modeler"
+	"damaskpick.example/damaskpick/internal/traffic/forwarder"
+	"damaskpick.example/damaskpick/internal/web/charger"
 )
 
-// readBody reads the whole body up to Limits.BodyBytes. ServeHTTP has set the read deadline.
+// overloadedRetryAfter is when a caller may retry a request for whose body there was no memory. What holds it gives way within a second.
+const overloadedRetryAfter = time.Second
+
+// readBody reads the whole body up to Limits.BodyBytes and charges it to the account of callers.
 func (x *httpExchange) readBody() ([]byte, error) {
 	limit := x.Limits.BodyBytes
-	if x.request.ContentLength > limit {
-		return nil, bodyTooLarge(limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, err := x.account.ReadBody(x.writer, x.request, limit, time.Now().Add(x.Timeouts.CallerRead.Std()))
 	switch {
 	case err == nil:
 		x.bodyRead = true
 		// net/http clears the read deadline at the end of a body, but not for a request without a body. There, the deadline would
 		// cancel the request's context before the response is complete.
 		return body, x.setReadDeadline(time.Time{})
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, charger.ErrTooLarge):
 		return nil, bodyTooLarge(limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, charger.ErrLate):
 		return nil, refusal(CodeSlowSender, "the body was not received in time")
+	case errors.Is(err, charger.ErrGaveWay):
+		return nil, noMemory()
 	default:
 		return nil, refusal(CodeBodyTruncated, "the body ended early")
 	}
 }
 
+func noMemory() error {
+	return &forwarder.RefusedError{Refusal: modeler.Refusal{
+		Code: modeler.CodeOverloaded, Message: "there is no memory for the body", Run: modeler.NotRun, RetryAfter: overloadedRetryAfter,
+	}}
+}
+
 // setReadDeadline has no effect on writers that do not support deadlines, such as httptest.ResponseRecorder.
 func (x *httpExchange) setReadDeadline(at time.Time) error {
 	if err := x.controller.SetReadDeadline(at); err != nil && !errors.Is(err, http.ErrNotSupported) {
@@ -52,6 +61,10 @@
 	if err != nil {
 		return err
 	}
+	// The decoded texts are as long as the body at most.
+	if err := x.account.Charge(x.request.Context(), int64(len(body))); err != nil {
+		return noMemory()
+	}
 	var field *json.UnmarshalTypeError
 	err = json.Unmarshal(body, target)
 	switch {
--- a/internal/web/handler/handler.go
+++ b/internal/web/handler/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -12,6 +13,8 @@
 	"damaskpick.example/damaskpick/internal/control/modeler"
 	"damaskpick.example/damaskpick/internal/settings/loader"
 	"damaskpick.example/damaskpick/internal/traffic/forwarder"
+	"damaskpick.example/damaskpick/internal/web/accountant"
+	"damaskpick.example/damaskpick/internal/web/charger"
 )
 
 // Forwarder runs the requests of callers.
@@ -29,6 +32,8 @@
 	Limits      loader.Limits
 	Timeouts    loader.Timeouts
 	Log         zerolog.Logger
+	// Charger charges the requests of members; the default is one of Limits.HeldBytes.
+	Charger *charger.Charger
 	// Refused is called for each refusal that this package decides and for each internal error; the forwarder reports all others. It may
 	// be nil.
 	OnRefusal func(modeler.Code)
@@ -85,6 +90,11 @@
 	if o.Limits.BodyBytes <= 0 {
 		o.Limits.BodyBytes = DefaultBodyBytes
 	}
+	if o.Charger == nil {
+		o.Charger = charger.New(accountant.New(accountant.Options{
+			Bytes: max(o.Limits.HeldBytes, 4*o.Limits.BodyBytes), Connections: math.MaxInt32, Now: time.Now,
+		}), int64(o.Limits.HeaderBytes))
+	}
 	for _, timeout := range []struct {
 		value    *loader.Duration
 		fallback time.Duration
@@ -109,6 +119,8 @@
 	controller *http.ResponseController
 	// bodyRead is set once the whole request body has been read.
 	bodyRead bool
+	// account is charged for the body of a member's request; nil for others.
+	account *charger.Request
 	// writeDeadline is the current write deadline of the connection.
 	writeDeadline time.Time
 }
@@ -168,7 +180,7 @@
 		}
 		if err == nil {
 			x.member = credential.Member
-			err = serve(x)
+			err = x.serveCharged(serve)
 		}
 		if err != nil {
 			x.refuse(err)
@@ -176,6 +188,17 @@
 	})
 }
 
+// serveCharged runs serve with an account for the request.
+func (x *httpExchange) serveCharged(serve func(*httpExchange) error) error {
+	account, closeAccount, err := x.Charger.NewRequest(x.request, int64(x.Limits.HeaderBytes))
+	if err != nil {
+		return noMemory()
+	}
+	defer closeAccount()
+	x.account = account
+	return serve(x)
+}
+
 // requireOperator runs next for requests with the credential of an operator and refuses others.
 func (h *Handler) requireOperator(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/web/listener/listener.go
+++ b/internal/web/listener/listener.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"damaskpick.example/damaskpick/internal/settings/loader"
+	"damaskpick.example/damaskpick/internal/web/charger"
 	"damaskpick.example/damaskpick/internal/web/drainer"
 )
 
@@ -33,7 +34,9 @@
 	IdleTimeout time.Duration
 	// WrapListener returns a replacement for the TCP listener below TLS, for example one that counts bytes. It may be nil.
 	WrapListener func(net.Listener) net.Listener
-	Log          zerolog.Logger
+	// Charger, if set, charges the connections to an account.
+	Charger *charger.Charger
+	Log     zerolog.Logger
 }
 
 // Defaults of Options.
@@ -104,7 +107,7 @@
 	// reading one stream would block the other streams of its connection.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Server{
+	server := &http.Server{
 		Handler:           connections.Handler(o.Handler),
 		MaxHeaderBytes:    o.HeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
@@ -115,6 +118,16 @@
 		// net/http logs failed handshakes and panics of handlers here.
 		ErrorLog: log.New(warnWriter{o.Log}, "", 0),
 	}
+	if o.Charger != nil {
+		server.ConnState = func(conn net.Conn, state http.ConnState) {
+			o.Charger.Track(conn, state)
+			connections.Track(conn, state)
+		}
+		server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			return o.Charger.ConnContext(connections.ConnContext(ctx, conn), conn)
+		}
+	}
+	return server
 }
 
 func (s *Server) serve() {
