--- a/internal/web/charger/charger_test.go
+++ b/internal/web/charger/charger_test.go
@@ -107,8 +107,8 @@
 // TestGiveWay guards against a body that stands and keeps the memory from others, and against a refusal without an answer.
 func TestGiveWay(t *testing.T) {
 	server, account := newServer(t, time.Minute)
-	var stalled []net.Conn
-	for range 12 {
+	stalled := make([]net.Conn, 0, 12)
+	for range cap(stalled) {
 		conn := dial(t, server)
 		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bodyLimit, strings.Repeat("x", bodyLimit-1))
 		assert.NilError(t, err)
