Lend retries to nodes that have used up their part of the budget

Cause: the slack of the retry budget is divided evenly among the nodes.

Change: internal/fleet/lender. The node that places requests lends up to a quarter of the slack in any window; a repeat asks for it with its placement. Bounds.RetryLending switches it on.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -25,6 +25,7 @@
 	"damaskpick.example/damaskpick/internal/fleet/elector"
 	"damaskpick.example/damaskpick/internal/fleet/follower"
 	"damaskpick.example/damaskpick/internal/fleet/forwarder"
+	"damaskpick.example/damaskpick/internal/fleet/lender"
 	"damaskpick.example/damaskpick/internal/fleet/limiter"
 	"damaskpick.example/damaskpick/internal/fleet/listener"
 	"damaskpick.example/damaskpick/internal/fleet/loader"
@@ -216,7 +217,9 @@
 		elector.New(placer.LoadSummaries),
 		throttler.New(),
 		watcher.New(),
-		placer.New(placer.Options{ColdFactor: settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack}),
+		placer.New(placer.Options{ColdFactor: settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack, Lending: lender.Options{
+			Slack: settings.Bounds.RetryBudgetSlack, Fraction: settings.Bounds.RetryLending, Window: loader.Seconds(settings.Bounds.BudgetWindowSeconds),
+		}}),
 	}
 }
 
@@ -337,7 +340,7 @@
 	traffic := platform.Traffic{}
 	forward := &forwarder.Forwarder{
 		Control: n.loop, Protocol: traffic, Pool: pool, Reserver: reserver, Self: self, OnRetry: n.observer.Retried,
-		Budget: n.budget,
+		Budget: n.budget, Borrows: n.settings.Bounds.RetryLending > 0,
 	}
 	callers := &listener.CallerHandler{Decoder: traffic, Forwarder: forward, Snapshot: n.loop.Snapshot, Observer: n.observer, Configured: n.loop.Configured(), Charger: n.callers}
 	addresses := listener.Addresses{
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -41,7 +41,7 @@
 func (f *Forwarder) attempt(ctx context.Context, p *progress, plan modeler.Plan, sink Sink) (outcome modeler.Outcome) {
 	id := f.request(p).ID
 	p.attempts++
-	p.sentAt, p.faultyHelper, p.succeeded = time.Now(), "", false
+	p.sentAt, p.faultyHelper, p.succeeded, p.borrows = time.Now(), "", false, false
 	p.result.Endpoint, p.result.Helpers = plan.Endpoint.ID, len(plan.Helpers)
 	defer func() {
 		f.Control.Post(modeler.AttemptEnded{ID: id, Outcome: outcome, FaultyEngine: p.faultyHelper, Succeeded: p.succeeded})
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -120,6 +120,8 @@
 	Reserver Reserver
 	Budget   *limiter.Budget
 	Self     modeler.Node
+	// Borrows is set if the node that places requests lends retries.
+	Borrows bool
 	// OnRetry, if set, is called before each retry. attempt is the number of attempts so far, last the outcome of the last one, and
 	// endpoint the endpoint that it was sent to.
 	OnRetry func(call Call, attempt int, last modeler.Outcome, endpoint modeler.EndpointID)
@@ -166,6 +168,8 @@
 	// reached counts the attempts that may have reached an endpoint and is limited by maxReached. countedRetries counts the retries that were
 	// counted in the retry budget. The first attempt that reaches an endpoint is no retry.
 	reached, countedRetries int
+	// borrows is set if the next attempt needs a retry that the node which places requests lends.
+	borrows bool
 	// nextDecision is the placement that the guard found while the last endpoint was silent. The next attempt uses it, or Serve releases it.
 	nextDecision *modeler.Decision
 	// lastEventID is the id of the last event that was forwarded, and lastEventAt the time of that event.
@@ -309,8 +313,8 @@
 		Node: f.Self.ID, Service: call.Service.ID, Kind: call.Route.Kind, Prompt: call.Fields.Prompt, Output: call.Fields.Output,
 		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: f.callerDeadline(p), RunsUntil: p.deadline,
 		Gap: call.Route.GapTarget, Priority: priority, Fingerprint: call.Fingerprint, SharedParts: call.SharedParts,
-		RepeatsBroken: p.brokeBefore && !p.headerSent,
-		Tried:         p.tried, DataCentre: f.Self.DataCentre,
+		RepeatsBroken: p.brokeBefore && !p.headerSent, Borrows: p.borrows,
+		Tried: p.tried, DataCentre: f.Self.DataCentre,
 	}
 	if p.headerSent {
 		return f.resumeRequest(request, call.Route, p.deadline)
@@ -345,18 +349,33 @@
 		return true
 	}
 	if !f.allowRetry(p.call) {
-		p.result.Reason = modeler.ReasonBudget
-		return false
+		if !f.Borrows {
+			p.result.Reason = modeler.ReasonBudget
+			return false
+		}
+		// The node that places requests lends a retry with the placement, or refuses.
+		p.borrows = true
 	}
 	p.countedRetries++
 	return true
 }
 
-// allowRetry reports whether the retry budget allows a retry, and counts it if so. Each node may use an equal share of the budget's slack.
-// Because more nodes may exist than are known to be alive, the slack is divided by 1.5 times the known nodes, rounded down, plus one.
+// allowRetry reports whether this node's part of the retry budget allows a retry, and counts it if so. Each node may use an equal share of the budget's
+// slack.
 func (f *Forwarder) allowRetry(call Call) bool {
+	return f.Budget.TryRetry(call.Service.ID, f.budgetNodes())
+}
+
+// mustBorrow reports whether a retry needs one that the node which places requests lends.
+func (f *Forwarder) mustBorrow(call Call) bool {
+	return f.Borrows && !f.Budget.Allows(call.Service.ID, f.budgetNodes())
+}
+
+// budgetNodes returns the number of nodes among which the slack is divided. Because more nodes may exist than are known to be alive, it is 1.5 times the
+// known nodes, rounded down, plus one.
+func (f *Forwarder) budgetNodes() int {
 	nodes := len(f.Control.Snapshot().Alive)
-	return f.Budget.TryRetry(call.Service.ID, nodes+nodes/2+1)
+	return nodes + nodes/2 + 1
 }
 
 // finalResult returns how the call ended, derived from its attempts.
--- a/internal/fleet/forwarder/guard.go
+++ b/internal/fleet/forwarder/guard.go
@@ -115,6 +115,7 @@
 	if g.resuming {
 		request = g.forwarder.resumeRequest(request, g.call.Route, g.deadline)
 	}
+	request.Borrows = g.forwarder.mustBorrow(g.call)
 	g.cancel = cancel
 	g.mu.Unlock()
 
@@ -132,7 +133,7 @@
 	case decision.Refused && silent:
 		g.scheduleSearch(searchInterval)
 	case decision.Refused:
-	case silent && g.forwarder.allowRetry(g.call):
+	case silent && (request.Borrows || g.forwarder.allowRetry(g.call)):
 		g.found = &decision
 		g.abort()
 	default:
--- a/internal/fleet/limiter/budget.go
+++ b/internal/fleet/limiter/budget.go
@@ -72,6 +72,20 @@
 	return retries
 }
 
+// Allows reports whether the budget allows a retry now, without counting it. nodes is the maximum number of nodes that may exist.
+func (b *Budget) Allows(service modeler.ServiceID, nodes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.windows[service].since(b.now().Add(-b.options.Window))
+	return b.allowed(w, nodes)
+}
+
+// allowed reports whether one more retry is within the limit of the window.
+func (b *Budget) allowed(w window, nodes int) bool {
+	limit := usableRatio*b.options.Ratio*float64(len(w.requests)) + usableSlack*b.options.Slack/float64(max(nodes, 1))
+	return float64(len(w.retries)+1) <= limit
+}
+
 // TryRetry counts a retry and reports whether the budget allows it; a retry that is not allowed is not counted. nodes is the maximum
 // number of nodes that may exist.
 func (b *Budget) TryRetry(service modeler.ServiceID, nodes int) bool {
@@ -79,12 +93,10 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	w := b.windows[service].since(now.Add(-b.options.Window))
-	allowed := usableRatio*b.options.Ratio*float64(len(w.requests)) + usableSlack*b.options.Slack/float64(max(nodes, 1))
-	if float64(len(w.retries)+1) <= allowed {
+	allowed := b.allowed(w, nodes)
+	if allowed {
 		w.retries = append(w.retries, now)
-		b.windows[service] = w
-		return true
 	}
 	b.windows[service] = w
-	return false
+	return allowed
 }
--- a/internal/fleet/loader/settings.go
+++ b/internal/fleet/loader/settings.go
@@ -96,14 +96,20 @@
 // MilliCores returns the processor capacity in thousandths of a core; zero if it is unknown.
 func (l Limits) MilliCores() int { return int(1000 * l.CPUShare * l.CPUCores) }
 
+// maxRetryLending leaves room in the slack for the parts of the nodes, which take up to half of it, and for a second node that lends during a change.
+const maxRetryLending = 0.25
+
 // Bounds holds limits that the nodes of the fleet observe together.
 type Bounds struct {
 	GraceSeconds        float64
 	RetryBudgetRatio    float64
 	RetryBudgetSlack    float64
 	BudgetWindowSeconds float64
-	ColdFactor          float64
-	ColdSlack           float64
+	// RetryLending is the part of RetryBudgetSlack that the node which places requests lends to nodes whose own part is used up; at most maxRetryLending.
+	// Zero means none.
+	RetryLending float64
+	ColdFactor   float64
+	ColdSlack    float64
 }
 
 // Addresses configures how long callers cache the addresses of nodes.
@@ -187,6 +193,9 @@
 		add("Listen.MetricsPort", "must be a port between 1 and 65535, or 0 to disable metrics")
 	}
 	s.checkNumbers(add)
+	if s.Bounds.RetryLending > maxRetryLending {
+		add("Bounds.RetryLending", "must be at most %v", maxRetryLending)
+	}
 	if s.Limits.HeldMB > heldLimit*float64(s.Limits.MemoryMB) {
 		add("Limits.HeldMB", "must be at most %v of Limits.MemoryMB", heldLimit)
 	}
@@ -212,6 +221,7 @@
 		{"Bounds.RetryBudgetRatio", s.Bounds.RetryBudgetRatio, false},
 		{"Bounds.RetryBudgetSlack", s.Bounds.RetryBudgetSlack, false},
 		{"Bounds.BudgetWindowSeconds", s.Bounds.BudgetWindowSeconds, true},
+		{"Bounds.RetryLending", s.Bounds.RetryLending, false},
 		{"Bounds.ColdFactor", s.Bounds.ColdFactor, false},
 		{"Bounds.ColdSlack", s.Bounds.ColdSlack, false},
 		{"Addresses.KeepSeconds", s.Addresses.KeepSeconds, true},
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -59,7 +59,7 @@
 		Arrived: now.Add(-microseconds(r.GetAge())), Due: now.Add(microseconds(r.GetDue())), Deadline: now.Add(microseconds(r.GetDeadline())),
 		Gap: microseconds(r.GetGap()), Priority: int(r.GetPriority()), Fingerprint: modeler.Fingerprint(r.GetFingerprint()), Tried: tried,
 		DataCentre: modeler.DataCentreID(r.GetDataCentre()), SharedParts: decodeFingerprints(r.GetSharedParts()),
-		RepeatsBroken: r.GetRepeatsBroken(),
+		RepeatsBroken: r.GetRepeatsBroken(), Borrows: r.GetBorrows(),
 	}
 }
 
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -52,6 +52,7 @@
 		Age: now.Sub(r.Arrived).Microseconds(), Due: r.Due.Sub(now).Microseconds(), Deadline: r.Deadline.Sub(now).Microseconds(),
 		Gap: r.Gap.Microseconds(), Priority: int32(r.Priority), Fingerprint: uint64(r.Fingerprint), Tried: tried,
 		DataCentre: string(r.DataCentre), SharedParts: encodeFingerprints(r.SharedParts), RepeatsBroken: r.RepeatsBroken,
+		Borrows: r.Borrows,
 	}
 }
 
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -59,6 +59,8 @@
 const (
 	// LogEventPlaced: Request, Endpoint, Helpers, Expected, Waited, Left, Prompt, Coordinates, SharedParts.
 	LogEventPlaced LogEventName = "Placed"
+	// LogEventRetryBorrowed: Request, Service, Lent.
+	LogEventRetryBorrowed LogEventName = "RetryBorrowed"
 	// LogEventPlaceRefused: Request, Reason, Waited, Prompt, Waiting, EndpointsAge.
 	LogEventPlaceRefused LogEventName = "PlaceRefused"
 	// LogEventAttemptBroken: Request, Endpoint, Age, FirstEvent, Fingerprint, SharedParts, Count.
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -33,6 +33,9 @@
 	Resumes bool
 	// RepeatsBroken is set if an earlier attempt broke and the caller has received nothing yet.
 	RepeatsBroken bool
+	// Borrows is set if the request repeats an attempt and its node has used up its own part of the retry budget. The node that places requests for all
+	// lends it a retry or refuses it.
+	Borrows bool
 	// DataCentre is the data centre of the node that received the request.
 	DataCentre DataCentreID
 	// WeightFactor multiplies the weight of the request. It is above 1 for classes of requests that meet their target less often than
--- a/internal/fleet/placer/forwarded.go
+++ b/internal/fleet/placer/forwarded.go
@@ -74,6 +74,11 @@
 	placing, ok := elector.PlacingNode(world, tick.Now)
 	if !ok || placing.ID == entry.To {
 		world.Forwarded.Delete(entry.Request.ID)
+		if entry.Request.Borrows {
+			// Nobody is left who could lend: other nodes may be alone, too.
+			s.sendDecision(tick, world, modeler.Waiting{Request: entry.Request, Since: tick.Now}, refusal(modeler.ReasonBudget, retryAfter(tick.Now, entry.Request)))
+			return
+		}
 		s.wait(world, modeler.Waiting{Request: entry.Request, Since: tick.Now, Local: true})
 		return
 	}
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/elector"
+	"damaskpick.example/damaskpick/internal/fleet/lender"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
@@ -32,6 +33,8 @@
 	// MaxNodes is the smallest number of nodes among which the cold limit is divided. If more nodes are known, or MaxNodes is zero, the limit
 	// is divided among the known nodes.
 	MaxNodes int
+	// Lending defines the retries that are lent to other nodes.
+	Lending lender.Options
 }
 
 // System places requests.
@@ -42,6 +45,7 @@
 	onTime  onTimeRates
 	loads   *loadTable
 	queue   *queue
+	lender  *lender.Lender
 	// coordinator is the coordinator of the last tick. nextForwarded is when the next forwarded request is due to be asked for again.
 	coordinator              modeler.NodeID
 	nextForwarded, nextSweep time.Time
@@ -53,7 +57,10 @@
 
 // New returns the system.
 func New(options Options) *System {
-	return &System{options: options, cold: newColdLimiter(), limits: newEndpointLimiter(), onTime: newOnTimeRates(), loads: newLoadTable(), queue: newQueue()}
+	return &System{
+		options: options, cold: newColdLimiter(), limits: newEndpointLimiter(), onTime: newOnTimeRates(), loads: newLoadTable(), queue: newQueue(),
+		lender: lender.New(options.Lending),
+	}
 }
 
 // Run implements modeler.System.
@@ -88,13 +95,28 @@
 	}
 	service, known := world.Configuration.Service(request.Service)
 	placing, ok := elector.PlacingNode(world, tick.Now)
-	if !ok || !known || !service.IsEngine() && !world.ServiceLimited(service.ID) && !runsAlone(tick.Now, world, request) {
-		s.wait(world, modeler.Waiting{Request: request, Since: tick.Now})
+	if !ok || !known || !service.IsEngine() && !world.ServiceLimited(service.ID) && !runsAlone(tick.Now, world, request) && !request.Borrows {
+		s.lendOrRefuse(tick, world, modeler.Waiting{Request: request, Since: tick.Now})
 		return
 	}
 	s.forward(tick, world, request, placing)
 }
 
+// lendOrRefuse queues a request for placement by this node. If it has to borrow a retry, it is refused unless this node lends it one.
+func (s *System) lendOrRefuse(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting) {
+	if request := entry.Request; request.Borrows {
+		lent := s.lender.Lend(tick.Now, request.Service)
+		tick.Emit(modeler.LogEvent{Name: modeler.LogEventRetryBorrowed, Request: request.ID, Fields: []modeler.LogField{
+			{Key: "Service", Value: string(request.Service)}, {Key: "Lent", Value: lent},
+		}})
+		if !lent {
+			s.sendDecision(tick, world, entry, refusal(modeler.ReasonBudget, retryAfter(tick.Now, request)))
+			return
+		}
+	}
+	s.wait(world, entry)
+}
+
 // wait queues a request for placement by this node.
 func (s *System) wait(world *modeler.World, entry modeler.Waiting) {
 	world.Waiting.Put(entry.Request.ID, entry)
@@ -162,7 +184,7 @@
 		return
 	}
 	if _, ok := world.Waiting.Get(request.ID); !ok {
-		s.wait(world, modeler.Waiting{Request: request, Since: tick.Now})
+		s.lendOrRefuse(tick, world, modeler.Waiting{Request: request, Since: tick.Now})
 		return
 	}
 	s.send(tick, world, peer, modeler.Queued{ID: request.ID})
@@ -361,6 +383,10 @@
 	}
 	s.nextSweep = tick.Now.Add(time.Second)
 	s.limits.forget(world)
+	s.lender.Forget(func(id modeler.ServiceID) bool {
+		_, known := world.Configuration.Service(id)
+		return known
+	})
 	for id, a := range world.Assignments.All() {
 		node, ok := world.Nodes.Get(a.Request.Node)
 		ofOtherNode := a.Request.Node != world.Self.ID
