Survey engines and recover expired entries after all nodes were gone

Change: internal/fleet/surveyor asks engines once what they work on; their unplaced work counts in their load. The first listing of a node also reads the last 256 records of the entries; if a quarter of the endpoints have lost theirs, they are used as missing ones for 2 s. Both are settings of Placement, off by default.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -13,6 +13,9 @@
 	maxQuietTime = time.Second
 	// reappearTimeout is the time after the recovery of the store within which the platform writes the entries of live endpoints again.
 	reappearTimeout = 2 * time.Second
+	// minDroppedFraction is the fraction of all endpoints that must have lost their entries for a process that starts to take this for the work of an
+	// outage of the store. Endpoints that crash one by one stay below it.
+	minDroppedFraction = 0.25
 )
 
 // System applies the events that result from store records. A record whose offset is not higher than that of an applied
@@ -46,6 +49,8 @@
 			s.applyEndpointChanged(tick, world, e)
 		case modeler.EndpointRemoved:
 			s.applyEndpointRemoved(tick, world, e)
+		case modeler.EndpointsDropped:
+			s.applyDropped(tick, world, e.Entries)
 		case modeler.PeerReceived:
 			if body, ok := e.Message.Body.(modeler.EndpointChanges); ok {
 				s.applyPeerChanges(tick, world, body)
@@ -182,6 +187,32 @@
 	}})
 }
 
+// applyDropped adds endpoints whose entries were removed shortly before this process has started, as missing ones, if there are so many that the entries
+// have expired because the store was unavailable. Otherwise the first requests after a restart of all nodes would go to the few endpoints that have
+// written their entries again. They are dropped like other missing ones.
+func (s *System) applyDropped(tick *modeler.Tick, world *modeler.World, entries []modeler.EndpointChanged) {
+	missing := make([]modeler.EndpointChanged, 0, len(entries))
+	for _, entry := range entries {
+		_, known := world.Endpoints.Get(entry.Endpoint.ID)
+		if newer, ok := world.EndpointOffsets.Get(entry.Endpoint.ID); !known && !entry.Endpoint.Draining && (!ok || newer < entry.Offset) {
+			missing = append(missing, entry)
+		}
+	}
+	if float64(len(missing)) < minDroppedFraction*float64(len(missing)+world.Endpoints.Len()) {
+		return
+	}
+	s.recoveredAt = tick.Now
+	for _, entry := range missing {
+		endpoint := entry.Endpoint.WithMissing(tick.Now)
+		endpoint.ChangeOffset = entry.Offset
+		world.EndpointOffsets.Put(endpoint.ID, entry.Offset)
+		world.Endpoints.Put(endpoint.ID, endpoint)
+	}
+	tick.Emit(modeler.LogEvent{Name: modeler.LogEventEndpointsRecovered, Fields: []modeler.LogField{
+		{Key: "Endpoints", Value: len(missing)}, {Key: "Dropped", Value: len(entries)},
+	}})
+}
+
 // applyListing removes entities whose keys were not listed. Those with a record at or after the end of the listing are kept: the record was
 // written after the listing began and received from another node.
 func (s *System) applyListing(tick *modeler.Tick, world *modeler.World, e modeler.TopicListed) {
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -35,6 +35,7 @@
 	"damaskpick.example/damaskpick/internal/fleet/placer"
 	"damaskpick.example/damaskpick/internal/fleet/poller"
 	"damaskpick.example/damaskpick/internal/fleet/runner"
+	"damaskpick.example/damaskpick/internal/fleet/surveyor"
 	"damaskpick.example/damaskpick/internal/fleet/throttler"
 	"damaskpick.example/damaskpick/internal/fleet/watcher"
 	"damaskpick.example/damaskpick/internal/telemetry/logger"
@@ -64,6 +65,8 @@
 	callerIdleTimeout = 10 * time.Minute
 	// headerTimeout bounds how long a caller may take to send the header of a request.
 	headerTimeout = 10 * time.Second
+	// endpointHistory is the number of records of endpoints that are read with the first listing: several for each endpoint of a fleet of today's size.
+	endpointHistory = 256
 	// maxHeaderBytes bounds the header of a request on all HTTP interfaces.
 	maxHeaderBytes = 64 << 10
 )
@@ -142,9 +145,10 @@
 	instrumented := n.observer.Store(store)
 	followers := n.followers(instrumented)
 	quarantines := follower.NewQuarantines(instrumented, platform.TopicQuarantines, func(e modeler.Event) { n.loop.Post(e) })
+	engines := follower.NewEngines(reserver, func(e modeler.Event) { n.loop.Post(e) })
 	n.loop = runner.New(modeler.NewWorld(self), runner.Options{
 		Systems: systems(settings), Now: time.Now,
-		Executor: &executor{peers: peers, observer: n.observer, followers: followers, quarantines: quarantines},
+		Executor: &executor{peers: peers, observer: n.observer, followers: followers, quarantines: quarantines, engines: engines},
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	idleCloser := &listener.IdleCloser{Snapshot: n.loop.Snapshot}
@@ -167,6 +171,7 @@
 		group.Go(func() error { return f.Run(running) })
 	}
 	group.Go(func() error { return quarantines.Run(running) })
+	group.Go(func() error { return engines.Run(running) })
 	registrar := follower.Registrar{Store: instrumented, Topic: platform.TopicNodes, Self: self, Post: n.loop.Post}
 	group.Go(func() error { return registrar.Run(running) })
 	for _, s := range servers {
@@ -217,6 +222,7 @@
 		elector.New(placer.LoadSummaries),
 		throttler.New(),
 		watcher.New(),
+		surveyor.New(settings.Placement.SurveyEngines),
 		placer.New(placer.Options{ColdFactor: settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack, Lending: lender.Options{
 			Slack: settings.Bounds.RetryBudgetSlack, Fraction: settings.Bounds.RetryLending, Window: loader.Seconds(settings.Bounds.BudgetWindowSeconds),
 		}}),
@@ -233,6 +239,9 @@
 			Key: func(key string) (string, bool) { return key, true },
 		},
 	}
+	if n.settings.Placement.RecoverEndpoints {
+		sources[1].History = endpointHistory
+	}
 	followers := make(map[modeler.Topic]*follower.Follower, len(sources))
 	for _, source := range sources {
 		followers[source.Topic] = follower.New(store, source, func(e modeler.Event) { n.loop.Post(e) }, n.observer.Unreadable)
@@ -310,6 +319,7 @@
 	observer    *observer.Observer
 	followers   map[modeler.Topic]*follower.Follower
 	quarantines *follower.Quarantines
+	engines     *follower.Engines
 }
 
 // Execute implements runner.Executor.
@@ -329,6 +339,8 @@
 			e.quarantines.Delete(effect)
 		case modeler.FetchQuarantines:
 			e.quarantines.Fetch()
+		case modeler.AskEngines:
+			e.engines.Ask(effect)
 		case modeler.LogEvent:
 			e.observer.LogDecision(effect)
 		}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	Decode func(modeler.Record) (modeler.Event, error)
 	// Key returns the identifier that a record key of the topic stands for, or false if it stands for none.
 	Key func(key string) (string, bool)
+	// History is the number of records before the end of the topic that are read with the first listing, for the entries that were removed last. Zero
+	// means none.
+	History int64
 }
 
 const (
@@ -150,12 +154,62 @@
 	if err != nil {
 		return err
 	}
-	f.postListing(page, modeler.TopicRead{ConfirmedAt: startedAt, Listed: true})
+	var dropped []modeler.EndpointChanged
+	if f.Source.History > 0 && !f.listed.Load() {
+		dropped = f.readDropped(ctx, page)
+	}
+	f.postListing(page, modeler.TopicRead{ConfirmedAt: startedAt, Listed: true}, dropped...)
 	return nil
 }
 
-// postListing posts the newest records of all keys, then TopicListed, then read with its topic, next offset and records set.
-func (f *Follower) postListing(page modeler.Page, read modeler.TopicRead) {
+// readDropped returns the entries that were removed within the last records of the topic. A failure is not reported: the listing suffices to serve.
+func (f *Follower) readDropped(ctx context.Context, listing modeler.Page) []modeler.EndpointChanged {
+	page, err := f.Store.Read(ctx, f.Source.Name, max(0, listing.Next-f.Source.History), 0)
+	var truncated modeler.TruncatedError
+	if errors.As(err, &truncated) {
+		page, err = f.Store.Read(ctx, f.Source.Name, truncated.First, 0)
+	}
+	if err != nil {
+		return nil
+	}
+	present := map[string]bool{}
+	for _, record := range listing.Records {
+		present[record.Key] = true
+	}
+	return droppedEntries(f.Source.Decode, page.Records, present)
+}
+
+// droppedEntries returns the last entry of each key that is not present and whose last record is a removal, with the offset of the removal.
+func droppedEntries(decode func(modeler.Record) (modeler.Event, error), records []modeler.Record, present map[string]bool) []modeler.EndpointChanged {
+	last := map[string]modeler.EndpointChanged{}
+	var dropped []modeler.EndpointChanged
+	for _, record := range records {
+		if present[record.Key] {
+			continue
+		}
+		event, err := decode(record)
+		switch e := event.(type) {
+		case modeler.EndpointChanged:
+			last[record.Key] = e
+		case modeler.EndpointRemoved:
+			if entry, ok := last[record.Key]; ok && err == nil {
+				entry.Offset = e.Offset
+				dropped = append(dropped, entry)
+			}
+			delete(last, record.Key)
+		}
+	}
+	// A key may have been removed, written and removed again.
+	newest := map[modeler.EndpointID]int64{}
+	for _, entry := range dropped {
+		newest[entry.Endpoint.ID] = max(newest[entry.Endpoint.ID], entry.Offset)
+	}
+	return slices.DeleteFunc(dropped, func(e modeler.EndpointChanged) bool { return e.Offset < newest[e.Endpoint.ID] })
+}
+
+// postListing posts the newest records of all keys, then the entries that were removed last, then TopicListed, then read with its topic, next offset and
+// records set.
+func (f *Follower) postListing(page modeler.Page, read modeler.TopicRead, dropped ...modeler.EndpointChanged) {
 	keys := map[string]bool{}
 	for _, record := range page.Records {
 		if key, ok := f.Source.Key(record.Key); ok {
@@ -163,6 +217,9 @@
 		}
 	}
 	f.postRecords(page.Records)
+	if len(dropped) > 0 {
+		f.Post(modeler.EndpointsDropped{Entries: dropped})
+	}
 	f.Post(modeler.TopicListed{Topic: f.Source.Topic, Keys: keys, End: page.Next})
 	f.listed.Store(true)
 	read.Topic, read.Next, read.Records = f.Source.Topic, page.Next, page.Records
--- a/internal/fleet/loader/settings.go
+++ b/internal/fleet/loader/settings.go
@@ -24,6 +24,7 @@
 	Limits    Limits
 	Bounds    Bounds
 	Addresses Addresses
+	Placement Placement
 	Log       Log
 }
 
@@ -120,6 +121,14 @@
 	LongestKeep float64
 }
 
+// Placement configures where requests go. Everything in it is off by default.
+type Placement struct {
+	// SurveyEngines makes the node that places requests ask the engines what they work on when all nodes were gone.
+	SurveyEngines bool
+	// RecoverEndpoints makes a node that starts use endpoints whose entries were lost together shortly before, until they are back or 2 s later.
+	RecoverEndpoints bool
+}
+
 // Log configures the log. Level is debug, info, warn or error.
 type Log struct{ Level string }
 
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -41,6 +41,8 @@
 		// Unreadable is set if the entry exists but cannot be used.
 		Unreadable bool
 	}
+	// EndpointsDropped carries the entries that were removed last, as they were before. It comes before the first TopicListed of a process.
+	EndpointsDropped struct{ Entries []EndpointChanged }
 	// NodeRegistered carries the registration of a node.
 	NodeRegistered struct{ Node Node }
 	// SelfRegistered reports that the registration of this node was written to the store.
@@ -96,6 +98,12 @@
 		Notice   EndpointNotice
 		SentAt   time.Time
 	}
+	// EngineReported reports what an engine works on: the requests that run or wait there, and the memory that they use.
+	EngineReported struct {
+		Engine   Endpoint
+		Requests int
+		Memory   Tokens
+	}
 	// PlacementCancelled reports that the caller of Place has given up, so that the Decision is not needed.
 	PlacementCancelled struct{ ID RequestID }
 
@@ -110,6 +118,7 @@
 func (DataCentreChanged) event()    {}
 func (EndpointChanged) event()      {}
 func (EndpointRemoved) event()      {}
+func (EndpointsDropped) event()     {}
 func (NodeRegistered) event()       {}
 func (SelfRegistered) event()       {}
 func (TopicListed) event()          {}
@@ -121,6 +130,7 @@
 func (AttemptSilent) event()        {}
 func (AttemptEnded) event()         {}
 func (EndpointResponded) event()    {}
+func (EngineReported) event()       {}
 func (PlacementCancelled) event()   {}
 func (PeerReceived) event()         {}
 func (LeaveRequested) event()       {}
@@ -193,6 +203,8 @@
 	DeleteQuarantine struct{ Fingerprint Fingerprint }
 	// FetchQuarantines reads the quarantines in the store. It results in QuarantinesRead once the store responds.
 	FetchQuarantines struct{}
+	// AskEngines asks engines what they work on. It results in EngineReported for each one that answers.
+	AskEngines struct{ Engines []Endpoint }
 	// LogEvent is one line for the log.
 	LogEvent struct {
 		Name    LogEventName
@@ -214,4 +226,5 @@
 func (SaveQuarantine) effect()   {}
 func (DeleteQuarantine) effect() {}
 func (FetchQuarantines) effect() {}
+func (AskEngines) effect()       {}
 func (LogEvent) effect()         {}
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -39,6 +39,8 @@
 	LogEventEndpointRemoved LogEventName = "EndpointRemoved"
 	// LogEventEndpointLapsed: Endpoint, MissingFor.
 	LogEventEndpointLapsed LogEventName = "EndpointLapsed"
+	// LogEventEndpointsRecovered: Endpoints, Dropped.
+	LogEventEndpointsRecovered LogEventName = "EndpointsRecovered"
 	// LogEventEndpointJudged: Request, Endpoint, Outcome, Failures, FailureRate, Misdirected.
 	LogEventEndpointJudged LogEventName = "EndpointJudged"
 	// LogEventEndpointTerms: Endpoint, Limited, Limit, Leaving, Pause.
@@ -47,6 +49,10 @@
 	LogEventQuarantined LogEventName = "Quarantined"
 	// LogEventQuarantineLifted: Request, Fingerprint, Count, Since.
 	LogEventQuarantineLifted LogEventName = "QuarantineLifted"
+	// LogEventEnginesSurveyed: Engines.
+	LogEventEnginesSurveyed LogEventName = "EnginesSurveyed"
+	// LogEventUnplacedWork: Endpoint, Requests, Memory.
+	LogEventUnplacedWork LogEventName = "UnplacedWork"
 	// LogEventStoreLost: Topic, Reason, Offset.
 	LogEventStoreLost LogEventName = "StoreLost"
 	// LogEventStoreRegained: Topic, SinceFailure.
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -51,6 +51,8 @@
 	Terms *tabler.Table[EndpointID, EndpointTerms]
 	// UnresolvedAttempts holds the attempts of the last seconds of which it is not known whether they ended their endpoints.
 	UnresolvedAttempts *tabler.Table[Fingerprint, UnresolvedAttempts]
+	// UnplacedWork holds the work of engines that no node has placed. It has no row for engines without any.
+	UnplacedWork *tabler.Table[EndpointID, UnplacedWork]
 	// Releases counts the changes of assignments that free a slot, memory or prefill time.
 	Releases uint64
 	// changedEndpoints holds the endpoints whose assignments changed since the last call of TakeChangedEndpoints.
@@ -93,6 +95,7 @@
 		Terms:              tabler.NewTable[EndpointID, EndpointTerms](),
 		UnresolvedAttempts: tabler.NewTable[Fingerprint, UnresolvedAttempts](),
 
+		UnplacedWork:     tabler.NewTable[EndpointID, UnplacedWork](),
 		changedEndpoints: map[EndpointID]struct{}{},
 	}
 }
--- a/internal/fleet/placer/borrow_test.go
+++ b/internal/fleet/placer/borrow_test.go
@@ -59,7 +59,7 @@
 	t.Run("refused by a node that nobody answers", func(t *testing.T) {
 		n := newNode("b")
 		n.run(modeler.PlacementRequested{Request: borrowing("r", "a", "engines")})
-		var replies []modeler.Reply
+		replies := make([]modeler.Reply, 0, 1)
 		for range 100 {
 			n.now = n.now.Add(10 * time.Millisecond)
 			replies = append(replies, effects[modeler.Reply](n.run())...)
--- a/internal/fleet/placer/load.go
+++ b/internal/fleet/placer/load.go
@@ -167,7 +167,10 @@
 			load.Pass += profile.SequencePassTime(a.Request.Prompt - a.Plan.ReservedOnHelpers())
 		}
 	}
-	if len(load.decoding) > 0 {
+	unplaced, _ := world.UnplacedWork.Get(endpoint)
+	load.Running += unplaced.Requests
+	load.Memory += unplaced.Memory
+	if len(load.decoding) > 0 || unplaced.Requests > 0 && profile.PrefillRate > 0 {
 		load.Pass += profile.BasePassTime()
 	}
 	return load
