Keep room for short work, and let requests wait where they are placed

Cause: after a loss of power of all nodes, long prompts with seconds to spare took five engines each at the first moment; short ones were sent behind them, knowingly with 1.6 s to the first event, and their callers left after 2 s.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -191,10 +191,14 @@
 // have expired because the store was unavailable. Otherwise the first requests after a restart of all nodes would go to the few endpoints that have
 // written their entries again. They are dropped like other missing ones.
 func (s *System) applyDropped(tick *modeler.Tick, world *modeler.World, entries []modeler.EndpointChanged) {
+	replaced := map[string]bool{}
+	for _, endpoint := range world.Endpoints.All() {
+		replaced[endpoint.Address] = true
+	}
 	missing := make([]modeler.EndpointChanged, 0, len(entries))
 	for _, entry := range entries {
-		_, known := world.Endpoints.Get(entry.Endpoint.ID)
-		if newer, ok := world.EndpointOffsets.Get(entry.Endpoint.ID); !known && !entry.Endpoint.Draining && (!ok || newer < entry.Offset) {
+		newer, known := world.EndpointOffsets.Get(entry.Endpoint.ID)
+		if !entry.Endpoint.Draining && !replaced[entry.Endpoint.Address] && (!known || newer < entry.Offset) {
 			missing = append(missing, entry)
 		}
 	}
--- a/internal/fleet/applier/dropped_test.go
+++ b/internal/fleet/applier/dropped_test.go
@@ -15,19 +15,23 @@
 // against one that uses endpoints which have crashed or left, or goes on using some that do not come back.
 func TestDroppedEntries(t *testing.T) {
 	entry := func(id int, offset int64, draining bool) modeler.EndpointChanged {
+		name := fmt.Sprint("e", id)
 		return modeler.EndpointChanged{
-			Endpoint: modeler.Endpoint{ID: modeler.EndpointID(fmt.Sprint("e", id)), Service: "s", Address: "a", Draining: draining}, Offset: offset,
+			Endpoint: modeler.Endpoint{ID: modeler.EndpointID(name), Service: "s", Address: name, Draining: draining}, Offset: offset,
 		}
 	}
 	tests := []struct {
-		name           string
-		listed, ready  int
-		draining       int
+		name          string
+		listed, ready int
+		draining      int
+		// replaced is set if the dropped endpoints have started again under other ids.
+		replaced       bool
 		used, usedLast int
 	}{
 		{name: "most have expired", listed: 5, ready: 15, used: 20, usedLast: 6},
 		{name: "all have expired", ready: 20, used: 20, usedLast: 1},
 		{name: "some have crashed", listed: 18, ready: 2, used: 18, usedLast: 18},
+		{name: "many have started again", listed: 20, ready: 15, replaced: true, used: 20, usedLast: 20},
 		{name: "some have left", listed: 10, draining: 10, used: 10, usedLast: 10},
 	}
 	for _, tt := range tests {
@@ -45,12 +49,16 @@
 			}
 			var dropped []modeler.EndpointChanged
 			for i := range tt.ready + tt.draining {
-				dropped = append(dropped, entry(100+i, int64(100+i), i >= tt.ready))
+				e := entry(100+i, int64(100+i), i >= tt.ready)
+				if tt.replaced {
+					e.Endpoint.Address = fmt.Sprint("e", i)
+				}
+				dropped = append(dropped, e)
 			}
 			events = append(events, modeler.EndpointsDropped{Entries: dropped}, modeler.TopicListed{Topic: modeler.Endpoints, Keys: keys, End: 200})
 			assert.Equal(t, run(0, events...), tt.used)
 			run(100*time.Millisecond, modeler.TopicRead{Topic: modeler.Endpoints, Next: 200, ConfirmedAt: start})
-			if tt.ready > 2 {
+			if tt.ready > 2 && !tt.replaced {
 				// One of them writes its entry again.
 				assert.Equal(t, run(time.Second, entry(100, 201, false)), tt.used)
 			}
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -225,7 +225,7 @@
 		surveyor.New(settings.Placement.SurveyEngines),
 		placer.New(placer.Options{ColdFactor: settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack, Lending: lender.Options{
 			Slack: settings.Bounds.RetryBudgetSlack, Fraction: settings.Bounds.RetryLending, Window: loader.Seconds(settings.Bounds.BudgetWindowSeconds),
-		}}),
+		}, KeepsRoom: settings.Placement.KeepRoom}),
 	}
 }
 
--- a/internal/fleet/loader/settings.go
+++ b/internal/fleet/loader/settings.go
@@ -125,6 +125,9 @@
 type Placement struct {
 	// SurveyEngines makes the node that places requests ask the engines what they work on when all nodes were gone.
 	SurveyEngines bool
+	// KeepRoom makes long prompts leave slots for short work while they can still be on time, and requests wait at the node that places them rather
+	// than behind long prompts.
+	KeepRoom bool
 	// RecoverEndpoints makes a node that starts use endpoints whose entries were lost together shortly before, until they are back or 2 s later.
 	RecoverEndpoints bool
 }
--- a/internal/fleet/modeler/unplaced_work.go
+++ b/internal/fleet/modeler/unplaced_work.go
@@ -12,6 +12,15 @@
 	SeenAt time.Time
 }
 
+// minKnownFraction is the fraction of the endpoints for which a digest names a load if its sender has placed requests for some time. A process that
+// regards itself as the coordinator for a moment after its start names few.
+const minKnownFraction = 0.25
+
+// Covers reports whether the loads of a digest tell what runs in the fleet.
+func (w *World) Covers(loads map[EndpointID]LoadSummary) bool {
+	return len(loads) > 0 && float64(len(loads)) >= minKnownFraction*float64(w.Endpoints.Len())
+}
+
 // PutUnplacedWork records the unplaced work of an engine, or removes the record if there is none.
 func (w *World) PutUnplacedWork(id EndpointID, work UnplacedWork) {
 	known, had := w.UnplacedWork.Get(id)
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -111,9 +111,12 @@
 	request := entry.Request
 	service, _ := world.Configuration.Service(request.Service)
 	candidates := s.candidates(tick, world, service, request)
-	proposal, found := s.propose(tick.Now, service, request, candidates)
+	proposal, found, waits := s.proposeWithin(tick.Now, service, request, candidates, s.longEngines(tick.Now, world, service, request, candidates))
 	found = found && mayRunLate(tick.Now, proposal.Plan, candidates)
-	if found && acceptable(tick.Now, request, service.Engine.PrefillTime(request.Prompt), proposal) && s.acquire(tick.Now, world, service, request, proposal) {
+	if found && s.options.KeepsRoom && service.IsEngine() {
+		waits = waits || waitsBetter(tick.Now, request, proposal.Plan)
+	}
+	if found && !waits && acceptable(tick.Now, request, service.Engine.PrefillTime(request.Prompt), proposal) && s.acquire(tick.Now, world, service, request, proposal) {
 		return modeler.Decision{Plan: proposal.Plan}, true
 	}
 	if !found {
@@ -192,9 +195,9 @@
 	return float64(late) <= maxLateFraction*float64(len(candidates)) || float64(idle-len(plan.Engines())) >= minIdleFraction*float64(len(candidates))
 }
 
-func (s *System) propose(now time.Time, service modeler.Service, request modeler.Request, candidates []Candidate) (Proposal, bool) {
+func (s *System) propose(now time.Time, service modeler.Service, request modeler.Request, candidates []Candidate, engines int) (Proposal, bool) {
 	if service.IsEngine() {
-		return Choose(LengthAware{Profile: service.Engine, MaxEngines: maxEngines}, now, request, candidates)
+		return Choose(LengthAware{Profile: service.Engine, MaxEngines: engines}, now, request, candidates)
 	}
 	return Choose(LeastBusy{}, now, request, candidates)
 }
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -35,6 +35,8 @@
 	MaxNodes int
 	// Lending defines the retries that are lent to other nodes.
 	Lending lender.Options
+	// KeepsRoom makes long prompts leave room for short work, and requests wait here rather than at engines.
+	KeepsRoom bool
 }
 
 // System places requests.
@@ -53,6 +55,10 @@
 	candidateList []Candidate
 	// decisions counts the calls of decide, which bound the cost of a tick.
 	decisions int
+	// settlesAt is the end of the time in which long prompts wait after the first request; zero before it.
+	settlesAt time.Time
+	// startedAt is the time of the first tick.
+	startedAt time.Time
 }
 
 // New returns the system.
@@ -65,6 +71,9 @@
 
 // Run implements modeler.System.
 func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
+	if s.startedAt.IsZero() {
+		s.startedAt = tick.Now
+	}
 	for _, event := range tick.Events {
 		switch e := event.(type) {
 		case modeler.PlacementRequested:
@@ -119,6 +128,7 @@
 
 // wait queues a request for placement by this node.
 func (s *System) wait(world *modeler.World, entry modeler.Waiting) {
+	s.settle(entry.Since, world)
 	world.Waiting.Put(entry.Request.ID, entry)
 	s.queue.add(newQueueKey(world, entry.Request))
 }
--- a/internal/fleet/surveyor/surveyor.go
+++ b/internal/fleet/surveyor/surveyor.go
@@ -10,17 +10,14 @@
 )
 
 const (
-	// surveyTime is the time after the start of the process in which it surveys. Requests that were placed before have ended by then.
-	surveyTime = 15 * time.Second
+	// surveyTime is the time after the start of the process in which it surveys. Engines cut off answers that stay unread for some seconds.
+	surveyTime = 8 * time.Second
 	// repeatInterval is the time between two questions to an engine that has unplaced work.
 	repeatInterval = 500 * time.Millisecond
 	// lapseTime is the time after which what an engine has said is dropped unless it says it again: two questions that got no answer.
 	lapseTime = 3 * repeatInterval
 	// reportLag is the age of what engines report. Requests that were placed since are not in it.
 	reportLag = 200 * time.Millisecond
-	// minKnownFraction is the fraction of the endpoints for which a digest names a load if its sender has placed requests before this process started. A
-	// process that regards itself as the coordinator for a moment names few.
-	minKnownFraction = 0.25
 )
 
 // System maintains World.UnplacedWork. It does nothing unless it is enabled.
@@ -53,7 +50,7 @@
 			case modeler.Ask:
 				s.survey(tick, world)
 			case modeler.Digest:
-				s.surveyed = s.surveyed || float64(len(body.Loads)) >= minKnownFraction*float64(world.Endpoints.Len()) && len(body.Loads) > 0
+				s.surveyed = s.surveyed || world.Covers(body.Loads)
 			}
 		case modeler.PlacementRequested:
 			if !othersLive(tick.Now, world) {
