Place calls of uneven services by learned cost and by what each endpoint still has to do

Cause: calls that look alike and cost 30 times as much weigh the same, and each node counts only its own.

Change: the learner keeps the times of calls and the tokens of answers by service, route, member and shape of the path, and the pace of each endpoint in relation to the others. A stop expects an answer as long as the learned ones, with a margin, instead of the longest allowed. Placement.LearnCosts, off by default.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -25,6 +25,7 @@
 	"damaskpick.example/damaskpick/internal/fleet/elector"
 	"damaskpick.example/damaskpick/internal/fleet/follower"
 	"damaskpick.example/damaskpick/internal/fleet/forwarder"
+	"damaskpick.example/damaskpick/internal/fleet/learner"
 	"damaskpick.example/damaskpick/internal/fleet/lender"
 	"damaskpick.example/damaskpick/internal/fleet/limiter"
 	"damaskpick.example/damaskpick/internal/fleet/listener"
@@ -219,8 +220,9 @@
 	return []modeler.System{
 		applier.New(),
 		poller.New(),
-		elector.New(placer.LoadSummaries),
+		elector.New(placer.LoadSummaries).WithCosts(learner.Summaries),
 		throttler.New(),
+		learner.New(settings.Placement.LearnCosts),
 		watcher.New(),
 		surveyor.New(settings.Placement.SurveyEngines),
 		placer.New(placer.Options{ColdFactor: settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack, Lending: lender.Options{
--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -53,6 +53,9 @@
 	}
 	digest.Suspects, digest.SuspectsPartial = suspects(now, world)
 	digest.Terms = reportedTerms(now, world)
+	if s.costs != nil {
+		digest.Costs = s.costs(now, world)
+	}
 	return digest
 }
 
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -58,6 +58,14 @@
 	nextAlive int
 	// loads summarises the load of all endpoints for the digest; it may be nil.
 	loads func(now time.Time, world *modeler.World) map[modeler.EndpointID]modeler.LoadSummary
+	// costs summarises what was learned of requests for the digest; it may be nil.
+	costs func(now time.Time, world *modeler.World) []modeler.CostSummary
+}
+
+// WithCosts returns the system with a function that summarises what was learned of requests for the digest.
+func (s *System) WithCosts(costs func(time.Time, *modeler.World) []modeler.CostSummary) *System {
+	s.costs = costs
+	return s
 }
 
 // New returns a System. loads summarises the load of all endpoints for the digest; it may be nil.
--- a/internal/fleet/estimator/estimator.go
+++ b/internal/fleet/estimator/estimator.go
@@ -131,7 +131,45 @@
 	return (value*weight + general*priorWeight) / (weight + priorWeight)
 }
 
-// Group returns the prediction for a subgroup and how many observations it rests on, to tell other nodes of it.
-func (e *Estimator[S, P]) Group(group, subgroup uint64, now time.Time) (value, weight float64) {
-	return e.policy.Predict(e.groups[groupKey{group, subgroup}], now)
+// LearnGroup takes over what another node has learned of a subgroup if that rests on more observations than what is known here.
+func (e *Estimator[S, P]) LearnGroup(group, subgroup uint64, value, weight float64, at time.Time) {
+	key := groupKey{group, subgroup}
+	state, known := e.groups[key]
+	if _, own := e.policy.Predict(state, at); own >= weight || !known && len(e.groups) >= e.options.MaxGroups {
+		return
+	}
+	e.groups[key] = e.policy.Told(value, weight, at)
+}
+
+// Range returns the lowest and the highest prediction of the special keys of a group that rest on at least minWeight observations; zeros if there are none.
+func (e *Estimator[S, P]) Range(group uint64, minWeight float64, now time.Time) (lowest, highest float64) {
+	for key, element := range e.rows {
+		if key.Group != group {
+			continue
+		}
+		value, weight := e.policy.Predict(element.Value.(row[S]).state, now)
+		if weight < minWeight {
+			continue
+		}
+		if highest == 0 || value < lowest {
+			lowest = value
+		}
+		highest = max(highest, value)
+	}
+	return lowest, highest
+}
+
+// Known is a prediction and the number of observations that it rests on.
+type Known struct{ Value, Weight float64 }
+
+// Subgroups returns what is known of the subgroups of a group, and of the group itself under zero, to tell other nodes of it.
+func (e *Estimator[S, P]) Subgroups(group uint64, now time.Time) map[uint64]Known {
+	all := map[uint64]Known{}
+	for key, state := range e.groups {
+		if key.group == group {
+			value, weight := e.policy.Predict(state, now)
+			all[key.subgroup] = Known{Value: value, Weight: weight}
+		}
+	}
+	return all
 }
--- a/internal/fleet/estimator/estimator_test.go
+++ b/internal/fleet/estimator/estimator_test.go
@@ -26,8 +26,8 @@
 		after time.Duration
 		key   estimator.Key
 		value float64
-		// cut is set if the request ended before its cost was known; times is the number of equal observations.
-		cut   bool
+		bound estimator.Bound
+		// times is the number of equal observations.
 		times int
 	}
 	cheap, costly := estimator.Key{Group: 1, Subgroup: 1, Special: 1}, estimator.Key{Group: 1, Subgroup: 1, Special: 2}
@@ -39,14 +39,16 @@
 		low, high float64
 	}{
 		{"nothing seen", nil, cheap, 7, 7},
-		{"two kinds that look alike, the cheap one", []step{{0, cheap, 10, false, 20}, {0, costly, 300, false, 20}}, cheap, 10, 80},
-		{"two kinds that look alike, the costly one", []step{{0, cheap, 10, false, 20}, {0, costly, 300, false, 20}}, costly, 250, 300},
-		{"a kind that turns costly", []step{{0, cheap, 10, false, 50}, {time.Second, cheap, 300, false, 9}}, cheap, 150, 300},
-		{"broken off early", []step{{0, cheap, 100, false, 10}, {0, cheap, 1, true, 50}}, cheap, 100, 100},
-		{"broken off late", []step{{0, cheap, 100, false, 10}, {0, cheap, 900, true, 10}}, cheap, 500, 900},
-		{"a new key of a known subgroup", []step{{0, cheap, 10, false, 20}}, costly, 10, 10},
-		{"a new subgroup", []step{{0, cheap, 10, false, 20}}, other, 10, 10},
-		{"a key that was not seen for long", []step{{0, costly, 300, false, 3}, {5 * time.Minute, cheap, 10, false, 20}}, costly, 10, 40},
+		{"two kinds that look alike, the cheap one", []step{{0, cheap, 10, estimator.Exact, 20}, {0, costly, 300, estimator.Exact, 20}}, cheap, 10, 80},
+		{"two kinds that look alike, the costly one", []step{{0, cheap, 10, estimator.Exact, 20}, {0, costly, 300, estimator.Exact, 20}}, costly, 250, 300},
+		{"a kind that turns costly", []step{{0, cheap, 10, estimator.Exact, 50}, {time.Second, cheap, 300, estimator.Exact, 9}}, cheap, 150, 300},
+		{"broken off early", []step{{0, cheap, 100, estimator.Exact, 10}, {0, cheap, 1, estimator.AtLeast, 50}}, cheap, 100, 100},
+		{"broken off late", []step{{0, cheap, 100, estimator.Exact, 10}, {0, cheap, 900, estimator.AtLeast, 10}}, cheap, 500, 900},
+		{"waited for others", []step{{0, cheap, 100, estimator.Exact, 10}, {0, cheap, 900, estimator.AtMost, 10}}, cheap, 100, 100},
+		{"waited, and is cheaper than expected", []step{{0, cheap, 100, estimator.Exact, 10}, {0, cheap, 20, estimator.AtMost, 10}}, cheap, 20, 60},
+		{"a new key of a known subgroup", []step{{0, cheap, 10, estimator.Exact, 20}}, costly, 10, 10},
+		{"a new subgroup", []step{{0, cheap, 10, estimator.Exact, 20}}, other, 10, 10},
+		{"a key that was not seen for long", []step{{0, costly, 300, estimator.Exact, 3}, {5 * time.Minute, cheap, 10, estimator.Exact, 20}}, costly, 10, 40},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -54,7 +56,7 @@
 			for _, s := range tt.steps {
 				now = now.Add(s.after)
 				for range s.times {
-					e.Learn(s.key, estimator.Observation{At: now, Value: s.value, Censored: s.cut})
+					e.Learn(s.key, estimator.Observation{At: now, Value: s.value, Bound: s.bound})
 				}
 			}
 			got := e.Predict(tt.key, now, 7)
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -41,10 +41,10 @@
 func (f *Forwarder) attempt(ctx context.Context, p *progress, plan modeler.Plan, sink Sink) (outcome modeler.Outcome) {
 	id := f.request(p).ID
 	p.attempts++
-	p.sentAt, p.faultyHelper, p.succeeded, p.borrows = time.Now(), "", false, false
+	p.sentAt, p.faultyHelper, p.succeeded, p.borrows, p.tokens = time.Now(), "", false, false, 0
 	p.result.Endpoint, p.result.Helpers = plan.Endpoint.ID, len(plan.Helpers)
 	defer func() {
-		f.Control.Post(modeler.AttemptEnded{ID: id, Outcome: outcome, FaultyEngine: p.faultyHelper, Succeeded: p.succeeded})
+		f.Control.Post(modeler.AttemptEnded{ID: id, Outcome: outcome, FaultyEngine: p.faultyHelper, Succeeded: p.succeeded, Tokens: p.tokens})
 		if outcome == modeler.Unreachable || outcome == modeler.Silent || outcome == modeler.Misdirected {
 			f.Pool.CloseIdle(plan.Endpoint.Address)
 		}
@@ -354,6 +354,7 @@
 			// The time spent writing to a slow caller must not count as silence of the engine.
 			guard.stop()
 			p.recordEvent(time.Now())
+			p.tokens += modeler.Tokens(max(p.call.Service.Engine.Stride, 1))
 			if !started {
 				started = true
 				f.Control.Post(modeler.AttemptStarted{ID: id})
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/dialer"
+	"damaskpick.example/damaskpick/internal/fleet/estimator"
 	"damaskpick.example/damaskpick/internal/fleet/limiter"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
@@ -51,6 +52,8 @@
 	Fingerprint       modeler.Fingerprint
 	// SharedParts holds the fingerprints of the parts of the request that others may share: of its prompt, and of a target with another query.
 	SharedParts []modeler.Fingerprint
+	// Cost is the key by which the cost of the request is predicted.
+	Cost estimator.Key
 	// Memory is charged for what is held of the answer.
 	Memory Memory
 }
@@ -175,6 +178,8 @@
 	// lastEventID is the id of the last event that was forwarded, and lastEventAt the time of that event.
 	lastEventID string
 	lastEventAt time.Time
+	// tokens is the number of tokens of the last attempt's answer that were received.
+	tokens modeler.Tokens
 	// brokeBefore is set once an attempt broke.
 	brokeBefore bool
 	// longBegun is set once a part of an answer that is no stream was forwarded. No other answer can follow it.
@@ -313,7 +318,7 @@
 		Node: f.Self.ID, Service: call.Service.ID, Kind: call.Route.Kind, Prompt: call.Fields.Prompt, Output: call.Fields.Output,
 		Arrived: call.Arrived, Due: call.Arrived.Add(call.Route.Target), Deadline: f.callerDeadline(p), RunsUntil: p.deadline,
 		Gap: call.Route.GapTarget, Priority: priority, Fingerprint: call.Fingerprint, SharedParts: call.SharedParts,
-		RepeatsBroken: p.brokeBefore && !p.headerSent, Borrows: p.borrows,
+		RepeatsBroken: p.brokeBefore && !p.headerSent, Borrows: p.borrows, Cost: call.Cost,
 		Tried: p.tried, DataCentre: f.Self.DataCentre,
 	}
 	if p.headerSent {
--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"damaskpick.example/damaskpick/internal/fleet/estimator"
 	"damaskpick.example/damaskpick/internal/fleet/forwarder"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/internal/fleet/observer"
@@ -216,12 +217,35 @@
 // newCall returns the call for a request.
 func newCall(to target, fields modeler.RequestFields, r *http.Request, body []byte, arrived time.Time) forwarder.Call {
 	return forwarder.Call{
+		Cost:   costKey(to, r),
 		Fields: fields, Route: to.route, Service: to.service, Member: to.member, Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: r.Header, Body: body, Arrived: arrived, Fingerprint: fingerprint(r.URL, to.member.ID, body),
 		SharedParts: append(partFingerprints(to.service.ID, fields.SharedParts), pathFingerprint(to.service.ID, r.URL, to.member.ID, body)...),
 	}
 }
 
+// costKey returns the key by which the cost of a request is predicted: service, route, and member, method and path without its variable parts.
+func costKey(to target, r *http.Request) estimator.Key {
+	return estimator.Key{
+		Group: modeler.CostGroup(to.service.ID), Subgroup: xxhash.Sum64String(to.route.Name), Owner: xxhash.Sum64String(string(to.member.ID)),
+		Special: uint64(hashFields([]byte(to.route.Name), []byte(to.member.ID), []byte(r.Method), []byte(pathShape(r.URL.Path)))),
+	}
+}
+
+// maxShapeSegments bounds the segments of a path that its shape has.
+const maxShapeSegments = 6
+
+// pathShape returns a path with a placeholder for segments that contain a digit, which are taken for identifiers.
+func pathShape(path string) string {
+	segments := strings.SplitN(path, "/", maxShapeSegments+1)
+	for i, segment := range segments {
+		if i == maxShapeSegments || strings.ContainsAny(segment, "0123456789") {
+			segments[i] = "*"
+		}
+	}
+	return strings.Join(segments, "/")
+}
+
 // fingerprint returns a hash of path, query, member and body, by which repeats of a request are recognised.
 func fingerprint(target *url.URL, member modeler.MemberID, body []byte) modeler.Fingerprint {
 	return hashFields([]byte(target.Path), []byte(target.RawQuery), []byte(member), body)
--- a/internal/fleet/loader/settings.go
+++ b/internal/fleet/loader/settings.go
@@ -125,6 +125,9 @@
 type Placement struct {
 	// SurveyEngines makes the node that places requests ask the engines what they work on when all nodes were gone.
 	SurveyEngines bool
+	// LearnCosts makes requests for plain services go where the least work is left, by what the calls there are predicted to take, and predicts answers of
+	// engines.
+	LearnCosts bool
 	// KeepRoom makes long prompts leave slots for short work while they can still be on time, and requests wait at the node that places them rather
 	// than behind long prompts.
 	KeepRoom bool
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -1,8 +1,10 @@
 package messenger
 
 import (
+	"math"
 	"time"
 
+	"damaskpick.example/damaskpick/internal/fleet/estimator"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
@@ -28,7 +30,7 @@
 			ID: modeler.RequestID(e.GetId()), Endpoint: modeler.EndpointID(e.GetEndpoint()),
 			Outcome: modeler.Outcome(min(e.GetOutcome(), uint32(modeler.Garbled))), Fingerprint: modeler.Fingerprint(e.GetFingerprint()),
 			SharedParts: decodeFingerprints(e.GetSharedParts()), Age: microseconds(e.GetAge()), Survived: e.GetSurvived(),
-			ProcessEndedAt: time.Duration(e.GetEndedAt()) * time.Microsecond,
+			ProcessEndedAt: time.Duration(e.GetEndedAt()) * time.Microsecond, Succeeded: e.GetSucceeded(), Tokens: modeler.Tokens(max(e.GetTokens(), 0)),
 		}
 	case *Datagram_Beat:
 		message.Body = decodeBeat(now, body.Beat)
@@ -60,6 +62,7 @@
 		Gap: microseconds(r.GetGap()), Priority: int(r.GetPriority()), Fingerprint: modeler.Fingerprint(r.GetFingerprint()), Tried: tried,
 		DataCentre: modeler.DataCentreID(r.GetDataCentre()), SharedParts: decodeFingerprints(r.GetSharedParts()),
 		RepeatsBroken: r.GetRepeatsBroken(), Borrows: r.GetBorrows(),
+		Cost: estimator.Key{Group: r.GetCostGroup(), Subgroup: r.GetCostSubgroup(), Special: r.GetCostSpecial(), Owner: r.GetCostOwner()},
 	}
 }
 
@@ -156,10 +159,16 @@
 	for _, l := range d.GetLoads() {
 		digest.Loads[modeler.EndpointID(l.GetEndpoint())] = modeler.LoadSummary{
 			Running: int(l.GetRunning()), Memory: modeler.Tokens(l.GetMemory()), Backlog: microseconds(l.GetBacklog()), Gap: microseconds(l.GetGap()),
+			Work: max(microseconds(l.GetWork()), 0),
 		}
 	}
 	digest.Suspects, digest.SuspectsPartial = decodeSuspects(d.GetSuspects()), d.GetSuspectsPartial()
 	digest.Terms = decodeTerms(d.GetTerms())
+	for _, c := range d.GetCosts() {
+		if value, weight := float64(c.GetValue()), float64(c.GetWeight()); value >= 0 && weight >= 0 && !math.IsInf(value, 0) && !math.IsInf(weight, 0) {
+			digest.Costs = append(digest.Costs, modeler.CostSummary{Group: c.GetGroup(), Subgroup: c.GetSubgroup(), Value: value, Weight: weight})
+		}
+	}
 	return digest
 }
 
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -25,7 +25,7 @@
 		d.Body = &Datagram_Ended{Ended: &Ended{
 			Id: string(body.ID), Endpoint: string(body.Endpoint), Outcome: uint32(body.Outcome), Fingerprint: uint64(body.Fingerprint),
 			SharedParts: encodeFingerprints(body.SharedParts), Age: body.Age.Microseconds(), Survived: body.Survived,
-			EndedAt: body.ProcessEndedAt.Microseconds(),
+			EndedAt: body.ProcessEndedAt.Microseconds(), Succeeded: body.Succeeded, Tokens: int64(body.Tokens),
 		}}
 	case modeler.Beat:
 		d.Body = &Datagram_Beat{Beat: encodeBeat(now, body)}
@@ -52,7 +52,7 @@
 		Age: now.Sub(r.Arrived).Microseconds(), Due: r.Due.Sub(now).Microseconds(), Deadline: r.Deadline.Sub(now).Microseconds(),
 		Gap: r.Gap.Microseconds(), Priority: int32(r.Priority), Fingerprint: uint64(r.Fingerprint), Tried: tried,
 		DataCentre: string(r.DataCentre), SharedParts: encodeFingerprints(r.SharedParts), RepeatsBroken: r.RepeatsBroken,
-		Borrows: r.Borrows,
+		Borrows: r.Borrows, CostGroup: r.Cost.Group, CostSubgroup: r.Cost.Subgroup, CostSpecial: r.Cost.Special, CostOwner: r.Cost.Owner,
 	}
 }
 
@@ -136,10 +136,14 @@
 	for id, l := range body.Loads {
 		digest.Loads = append(digest.Loads, &Load{
 			Endpoint: string(id), Running: int32(l.Running), Memory: int64(l.Memory), Backlog: l.Backlog.Microseconds(), Gap: l.Gap.Microseconds(),
+			Work: l.Work.Microseconds(),
 		})
 	}
 	digest.Suspects, digest.SuspectsPartial = encodeSuspects(body.Suspects), body.SuspectsPartial
 	digest.Terms = encodeTerms(body.Terms)
+	for _, c := range body.Costs {
+		digest.Costs = append(digest.Costs, &Cost{Group: c.Group, Subgroup: c.Subgroup, Value: float32(c.Value), Weight: float32(c.Weight)})
+	}
 	return digest
 }
 
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"damaskpick.example/damaskpick/internal/fleet/estimator"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
@@ -18,7 +19,7 @@
 		ID: "r/0/x", Node: "n", Service: "s", Kind: modeler.Stream, Prompt: 5000, Output: 900, Arrived: now.Add(-time.Second),
 		Due: now.Add(-time.Millisecond), Deadline: now.Add(time.Minute), Gap: 250 * time.Millisecond, Priority: -1, Fingerprint: 1 << 63,
 		Tried: []modeler.EndpointID{"e1", "e2"}, DataCentre: "dc", SharedParts: []modeler.Fingerprint{1 << 62, 3},
-		RepeatsBroken: true,
+		RepeatsBroken: true, Borrows: true, Cost: estimator.Key{Group: 1 << 63, Subgroup: 2, Special: 3, Owner: 4},
 	}
 }
 
@@ -49,7 +50,7 @@
 		{"ended", modeler.Ended{ID: "r", Endpoint: "e", Outcome: modeler.Garbled, Fingerprint: 1<<64 - 1}},
 		{"ended with evidence", modeler.Ended{
 			ID: "r", Endpoint: "e", Outcome: modeler.Broken, SharedParts: []modeler.Fingerprint{5, 1 << 63}, Age: time.Second, Survived: true,
-			ProcessEndedAt: 90 * time.Minute,
+			ProcessEndedAt: 90 * time.Minute, Succeeded: true, Tokens: 1310,
 		}},
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithFirstEvent(now)}, ReadPositions: [2]modeler.ReadPosition{{End: 4, LastChangeEnd: 3, Age: time.Second}, {End: 9}},
@@ -73,7 +74,8 @@
 			Alive:           []modeler.ReportedNode{{Node: node(), Age: time.Second}}, AliveRanks: []modeler.ReportedRank{{Age: 7 * time.Millisecond}, {Rank: 1 << 40, Age: 2 * time.Second}}, Suspects: []modeler.Suspect{
 				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Confirmed: true, Age: 5 * time.Second}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}, Requests: []modeler.Fingerprint{6, 7}},
 			},
-			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond}},
+			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond, Work: time.Minute}},
+			Costs: []modeler.CostSummary{{Group: 1 << 63, Subgroup: 7, Value: 30.5, Weight: 8}},
 		}},
 	}
 	for _, tt := range tests {
--- a/internal/fleet/modeler/configuration.go
+++ b/internal/fleet/modeler/configuration.go
@@ -1,6 +1,8 @@
 package modeler
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -220,6 +222,9 @@
 	return s, ok
 }
 
+// Services returns all services, in no particular order.
+func (c Configuration) Services() []Service { return slices.Collect(maps.Values(c.services)) }
+
 // Member returns the member that the credential belongs to, if there is one.
 func (c Configuration) Member(credential string) (Member, bool) {
 	m, ok := c.members[credential]
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -90,6 +90,8 @@
 		// Succeeded is set if the endpoint sent a whole success that stated its own end. A caller error does not show that the endpoint ran the
 		// request, and an answer that ends with its connection may be one that the end of the endpoint cut off.
 		Succeeded bool
+		// Tokens is the number of tokens of the answer that were received.
+		Tokens Tokens
 	}
 	// EndpointResponded reports what an endpoint has said about the requests that it takes in a response to a request that was sent at SentAt. It is
 	// left out for responses that say nothing, unless the endpoint has named a limit before.
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -53,6 +53,8 @@
 	LogEventEnginesSurveyed LogEventName = "EnginesSurveyed"
 	// LogEventUnplacedWork: Endpoint, Requests, Memory.
 	LogEventUnplacedWork LogEventName = "UnplacedWork"
+	// LogEventServiceUneven: Service, Uneven, LowestMs, HighestMs.
+	LogEventServiceUneven LogEventName = "ServiceUneven"
 	// LogEventStoreLost: Topic, Reason, Offset.
 	LogEventStoreLost LogEventName = "StoreLost"
 	// LogEventStoreRegained: Topic, SinceFailure.
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -41,6 +41,10 @@
 		// ProcessEndedAt is set if the attempt broke: its end on the clock of the sender's process, see World.ProcessTime. Nodes of an earlier version
 		// leave it out.
 		ProcessEndedAt time.Duration
+		// Succeeded is set if the endpoint sent a whole success that stated its own end, and Tokens is the number of tokens of the answer that were
+		// received.
+		Succeeded bool
+		Tokens    Tokens
 	}
 	// Beat is a heartbeat: the node's registration data, the requests that it runs, and its read positions in the store.
 	Beat struct {
@@ -80,6 +84,8 @@
 		SuspectsPartial bool
 		// Terms holds the terms of endpoints that name a limit, have done so lately or are leaving.
 		Terms []ReportedTerms
+		// Costs holds what the sender has learned of the routes' requests.
+		Costs []CostSummary
 	}
 	// ReportedNode is a node in a digest. Age is the time since a node has received the last message from it.
 	ReportedNode struct {
--- a/internal/fleet/modeler/node.go
+++ b/internal/fleet/modeler/node.go
@@ -117,4 +117,6 @@
 	Backlog time.Duration
 	// Gap is the smallest gap target of the decoding requests; zero if there are none.
 	Gap time.Duration
+	// Work is the time for which the calls at an endpoint of a plain service are expected to occupy slots from now on.
+	Work time.Duration
 }
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/estimator"
 )
 
 // Request holds the properties of a caller's request that placement uses.
@@ -33,6 +35,8 @@
 	Resumes bool
 	// RepeatsBroken is set if an earlier attempt broke and the caller has received nothing yet.
 	RepeatsBroken bool
+	// Cost is the key by which the cost of the request is predicted.
+	Cost estimator.Key
 	// Borrows is set if the request repeats an attempt and its node has used up its own part of the retry budget. The node that places requests for all
 	// lends it a retry or refuses it.
 	Borrows bool
@@ -72,6 +76,12 @@
 	Placed time.Time
 	// FirstEventAt is when the first event was received; zero before that.
 	FirstEventAt time.Time
+	// Predicted is the time for which a call to a plain service was expected to occupy a slot when it was placed; zero if nothing was known.
+	Predicted time.Duration
+	// Alone is set if no other call was known at the endpoint when this one was placed. The time of another one may include waiting.
+	Alone bool
+	// Granted is set on the node that has placed the request of another node.
+	Granted bool
 }
 
 // WithFirstEvent returns the assignment after its first event.
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -53,6 +53,13 @@
 	UnresolvedAttempts *tabler.Table[Fingerprint, UnresolvedAttempts]
 	// UnplacedWork holds the work of engines that no node has placed. It has no row for engines without any.
 	UnplacedWork *tabler.Table[EndpointID, UnplacedWork]
+	// CallTimes predicts the times of calls to plain services in milliseconds, and AnswerLengths the tokens of engines' answers. Both are nil unless costs
+	// are learned.
+	CallTimes, AnswerLengths *CostEstimator
+	// UnevenServices holds the plain services whose calls cost so different amounts that one node places them for all.
+	UnevenServices map[ServiceID]bool
+	// CallPaces holds the factor by which each endpoint of a plain service takes longer than the others of its service for the same requests.
+	CallPaces *tabler.Table[EndpointID, float64]
 	// Releases counts the changes of assignments that free a slot, memory or prefill time.
 	Releases uint64
 	// changedEndpoints holds the endpoints whose assignments changed since the last call of TakeChangedEndpoints.
@@ -96,6 +103,7 @@
 		UnresolvedAttempts: tabler.NewTable[Fingerprint, UnresolvedAttempts](),
 
 		UnplacedWork:     tabler.NewTable[EndpointID, UnplacedWork](),
+		CallPaces:        tabler.NewTable[EndpointID, float64](),
 		changedEndpoints: map[EndpointID]struct{}{},
 	}
 }
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/elector"
+	"damaskpick.example/damaskpick/internal/fleet/estimator"
+	"damaskpick.example/damaskpick/internal/fleet/learner"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
@@ -111,7 +113,7 @@
 	request := entry.Request
 	service, _ := world.Configuration.Service(request.Service)
 	candidates := s.candidates(tick, world, service, request)
-	proposal, found, waits := s.proposeWithin(tick.Now, service, request, candidates, s.longEngines(tick.Now, world, service, request, candidates))
+	proposal, found, waits := s.proposeWithin(tick.Now, world, service, request, candidates, s.longEngines(tick.Now, world, service, request, candidates))
 	found = found && mayRunLate(tick.Now, proposal.Plan, candidates)
 	if found && s.options.KeepsRoom && service.IsEngine() {
 		waits = waits || waitsBetter(tick.Now, request, proposal.Plan)
@@ -195,10 +197,14 @@
 	return float64(late) <= maxLateFraction*float64(len(candidates)) || float64(idle-len(plan.Engines())) >= minIdleFraction*float64(len(candidates))
 }
 
-func (s *System) propose(now time.Time, service modeler.Service, request modeler.Request, candidates []Candidate, engines int) (Proposal, bool) {
+func (s *System) propose(now time.Time, world *modeler.World, service modeler.Service, request modeler.Request, candidates []Candidate, engines int) (Proposal, bool) {
 	if service.IsEngine() {
 		return Choose(LengthAware{Profile: service.Engine, MaxEngines: engines}, now, request, candidates)
 	}
+	if predicted := world.PredictedCall(request, now); world.UnevenServices[service.ID] && predicted > 0 {
+		typical := world.PredictedCall(modeler.Request{Cost: estimator.Key{Group: request.Cost.Group}}, now)
+		return Choose(LeastWork{Predicted: predicted, Typical: max(typical, time.Millisecond)}, now, request, candidates)
+	}
 	return Choose(LeastBusy{}, now, request, candidates)
 }
 
@@ -237,8 +243,12 @@
 		}
 		health, _ := world.Health.Get(id)
 		load := s.loads.get(world, id, service.Engine, now)
+		pace := paceOf(world, load, health, now)
+		if !service.IsEngine() {
+			pace = learner.Pace(world, endpoint)
+		}
 		candidate := Candidate{
-			Endpoint: endpoint, Load: load, LimitReached: s.limitWait(now, world, endpoint, shared) > 0, FailureRate: health.FailureRate(now), Pace: paceOf(world, load, health, now),
+			Endpoint: endpoint, Load: load, LimitReached: s.limitWait(now, world, endpoint, shared) > 0, FailureRate: health.FailureRate(now), Pace: pace,
 			SameDataCentre: endpoint.DataCentre == request.DataCentre, Shared: shared && service.IsEngine(),
 		}
 		if now.Before(health.AvoidUntil) {
--- a/internal/fleet/placer/leaving.go
+++ b/internal/fleet/placer/leaving.go
@@ -14,6 +14,8 @@
 	leavingRetryAfter = 20 * time.Millisecond
 	// restartTime is how long after its end a node serves again if it is restarted at once.
 	restartTime = time.Second
+	// answerMargin is the factor by which an answer may be longer than its prediction, a mean, to count as one that ends in time.
+	answerMargin = 1.5
 )
 
 // endsInTime reports whether a request that is placed now, with its first event or response after first, ends before this node stops. While callers
@@ -27,17 +29,17 @@
 	if request.Arrived.After(world.AddressUntil) {
 		return !request.RunsUntil.After(world.StopAt)
 	}
-	return !now.Add(first + decodeTime(world, request)).After(world.StopAt)
+	return !now.Add(first + decodeTime(now, world, request)).After(world.StopAt)
 }
 
 // decodeTime returns how long a request is expected to take from its first event to its end. Callers declare only the maximum of the output, so that
 // nine in ten streams end earlier. For a plain service, it is the time of the whole call.
-func decodeTime(world *modeler.World, request modeler.Request) time.Duration {
+func decodeTime(now time.Time, world *modeler.World, request modeler.Request) time.Duration {
 	service, ok := world.Configuration.Service(request.Service)
 	longest := request.RunsUntil.Sub(request.Arrived)
 	switch {
 	case ok && service.IsEngine() && request.Output > 0:
-		passes := float64(request.Output) / float64(max(service.Engine.Stride, 1))
+		passes := min(answerMargin*float64(world.PredictedAnswer(request, now)), float64(request.Output)) / float64(max(service.Engine.Stride, 1))
 		return min(longest, scale(service.Engine.BasePassTime(), passes))
 	case ok && !service.IsEngine() && request.Due.After(request.Arrived):
 		return min(longest, callTargets*request.Due.Sub(request.Arrived))
--- a/internal/fleet/placer/leaving_test.go
+++ b/internal/fleet/placer/leaving_test.go
@@ -101,7 +101,7 @@
 			}
 			assert.Equal(t, len(effects[modeler.Reply](n.run(modeler.PlacementRequested{Request: r}))), 0)
 			n.world.AddressUntil = start
-			work := typicalTimeToFirstEvent(n.world, r) + decodeTime(n.world, r)
+			work := typicalTimeToFirstEvent(n.world, r) + decodeTime(start, n.world, r)
 			n.world.StopAt = start.Add(2*time.Second + work)
 			var refusedAfter time.Duration
 			for n.now = start; n.now.Before(n.world.StopAt) && refusedAfter == 0; n.now = n.now.Add(10 * time.Millisecond) {
--- a/internal/fleet/placer/load.go
+++ b/internal/fleet/placer/load.go
@@ -25,6 +25,38 @@
 	decoding []decodingRequests
 	// prefilling must not be modified.
 	prefilling []prefillingRequest
+	// calls are the calls of a plain service whose time was predicted. It must not be modified.
+	calls []runningCall
+	// toldWork is the work that the coordinator's digest names, as of toldAt; zero on the coordinator itself.
+	toldWork time.Duration
+	toldAt   time.Time
+}
+
+// runningCall is a call that was placed on an endpoint of a plain service.
+type runningCall struct {
+	placed    time.Time
+	predicted time.Duration
+}
+
+// outlivedFraction is the part of its age that a call is expected to go on for if it has outlived its prediction: the longer it has run, the longer it is
+// likely to run on.
+const outlivedFraction = 0.5
+
+// left returns for how long the call is expected to occupy its slot.
+func (c runningCall) left(now time.Time) time.Duration {
+	age := now.Sub(c.placed)
+	return max(c.predicted-age, scale(age, outlivedFraction))
+}
+
+// Work returns the time for which the calls at an endpoint of a plain service are expected to occupy slots from now on. What a digest has named ends at
+// the rate of one second a second for each running call, at least of one.
+func (l Load) Work(now time.Time) time.Duration {
+	var own time.Duration
+	for _, call := range l.calls {
+		own += call.left(now)
+	}
+	told := l.toldWork - scale(now.Sub(l.toldAt), float64(max(l.Running, 1)))
+	return max(own, told)
 }
 
 // Backlog returns the remaining prefill time.
@@ -161,6 +193,9 @@
 			continue
 		}
 		load.Running++
+		if a.Predicted > 0 {
+			load.calls = append(load.calls, runningCall{placed: a.Placed, predicted: a.Predicted})
+		}
 		load.Memory += a.Request.MaxMemory() - a.Plan.ReservedOnHelpers()
 		if decodes {
 			load = load.withDecoding(a.Request.Gap, weight)
@@ -192,6 +227,7 @@
 	if busyUntil := world.LoadsAt.Add(summary.Backlog); busyUntil.After(l.BusyUntil) {
 		l.BusyUntil = busyUntil
 	}
+	l.toldWork, l.toldAt = summary.Work, world.LoadsAt
 	if summary.Gap > 0 {
 		if len(l.decoding) == 0 {
 			l.Pass += profile.BasePassTime()
@@ -210,7 +246,7 @@
 		if load.Idle(now) {
 			continue
 		}
-		summary := modeler.LoadSummary{Running: load.Running, Memory: load.Memory, Backlog: load.Backlog(now)}
+		summary := modeler.LoadSummary{Running: load.Running, Memory: load.Memory, Backlog: load.Backlog(now), Work: load.Work(now)}
 		for _, d := range load.decoding {
 			if summary.Gap == 0 || d.gap < summary.Gap {
 				summary.Gap = d.gap
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -104,7 +104,7 @@
 	}
 	service, known := world.Configuration.Service(request.Service)
 	placing, ok := elector.PlacingNode(world, tick.Now)
-	if !ok || !known || !service.IsEngine() && !world.ServiceLimited(service.ID) && !runsAlone(tick.Now, world, request) && !request.Borrows {
+	if !ok || !known || !service.IsEngine() && !world.ServiceLimited(service.ID) && !runsAlone(tick.Now, world, request) && !request.Borrows && !world.UnevenServices[service.ID] {
 		s.lendOrRefuse(tick, world, modeler.Waiting{Request: request, Since: tick.Now})
 		return
 	}
@@ -281,7 +281,7 @@
 		known, ok := world.Assignments.Get(a.Request.ID)
 		switch {
 		case !ok:
-			world.Assign(a)
+			world.Assign(s.withPrediction(tick.Now, world, a))
 		case !a.FirstEventAt.IsZero() && known.FirstEventAt.IsZero():
 			s.handleStarted(tick, world, a.Request.ID)
 		}
@@ -359,8 +359,23 @@
 	}}
 }
 
+// withPrediction returns the assignment with the time that it is expected to take if it is a call to a plain service.
+func (s *System) withPrediction(now time.Time, world *modeler.World, a modeler.Assignment) modeler.Assignment {
+	if a.Plan.PartPrefill <= 0 {
+		a.Predicted = world.PredictedCall(a.Request, now)
+		load := loadOf(world, a.Plan.Endpoint.ID, modeler.EngineProfile{})
+		if !world.Coordinates() {
+			load = load.withDigest(world, a.Plan.Endpoint.ID, modeler.EngineProfile{}, now)
+		}
+		a.Alone = load.Running == 0 && load.Work(now) <= 0
+	}
+	return a
+}
+
 func (s *System) assign(tick *modeler.Tick, world *modeler.World, request modeler.Request, plan modeler.Plan) {
-	world.Assign(modeler.Assignment{Request: request, Plan: plan, Placed: tick.Now})
+	world.Assign(s.withPrediction(tick.Now, world, modeler.Assignment{
+		Request: request, Plan: plan, Placed: tick.Now, Granted: request.Node != world.Self.ID,
+	}))
 	recordTrial(tick.Now, world, request)
 	if plan.PartPrefill <= 0 {
 		return
--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -107,6 +107,41 @@
 	return Proposal{Plan: modeler.Plan{Endpoint: candidates[best].Endpoint}}, true
 }
 
+// LeastWork chooses the endpoint of a plain service with the least work left per slot, by the predicted times of the calls there, after adding that of
+// the request itself on the endpoint and the costs of failures and distance.
+type LeastWork struct {
+	// Predicted is the time for which the request is expected to occupy a slot.
+	Predicted time.Duration
+	// Typical is the time of a typical call of the service, which makes the costs of failures and distance comparable to times; positive.
+	Typical time.Duration
+}
+
+// Propose implements Policy.
+func (p LeastWork) Propose(now time.Time, _ modeler.Request, candidates []Candidate) (Proposal, bool) {
+	best, bestCost := -1, 0.0
+	for i, c := range candidates {
+		if c.LimitReached || c.Load.Running >= c.Endpoint.Slots {
+			continue
+		}
+		pace := max(c.Pace, minCallPace)
+		work := scale(c.Load.Work(now)+p.Predicted, pace)
+		cost := float64(work)/float64(p.Typical)/float64(c.Endpoint.Slots) + failureCost*c.FailureRate
+		if !c.SameDataCentre {
+			cost += remoteCost
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return Proposal{}, false
+	}
+	return Proposal{Plan: modeler.Plan{Endpoint: candidates[best].Endpoint}}, true
+}
+
+// minCallPace bounds how much faster than the others an endpoint of a plain service counts.
+const minCallPace = 0.25
+
 // LengthAware places prompts on engines so that they delay each other as little as possible. It spreads the prefill of long prompts over
 // several engines.
 type LengthAware struct {
--- a/internal/fleet/placer/room.go
+++ b/internal/fleet/placer/room.go
@@ -59,20 +59,20 @@
 // proposeWithin returns the proposal for a request that may use a limited number of engines, and whether the request waits instead of using it. It
 // waits only as long as the best proposal without the limit has time to spare; then that one is used.
 func (s *System) proposeWithin(
-	now time.Time, service modeler.Service, request modeler.Request, candidates []Candidate, limit int,
+	now time.Time, world *modeler.World, service modeler.Service, request modeler.Request, candidates []Candidate, limit int,
 ) (proposal Proposal, found, waits bool) {
 	if limit >= maxEngines {
-		proposal, found = s.propose(now, service, request, candidates, maxEngines)
+		proposal, found = s.propose(now, world, service, request, candidates, maxEngines)
 		return proposal, found, false
 	}
-	best, found := s.propose(now, service, request, candidates, maxEngines)
+	best, found := s.propose(now, world, service, request, candidates, maxEngines)
 	if !found || request.Due.Sub(now)-best.Plan.TimeToFirstEvent < minSlack {
 		return best, found, false
 	}
 	if limit == 0 {
 		return best, true, true
 	}
-	proposal, found = s.propose(now, service, request, candidates, limit)
+	proposal, found = s.propose(now, world, service, request, candidates, limit)
 	return proposal, found, found && proposal.Plan.Late
 }
 
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -214,7 +214,7 @@
 			world.Assign(assignment)
 			tick := &modeler.Tick{Now: start.Add(time.Second), Events: []modeler.Event{modeler.AttemptEnded{ID: "r", Outcome: tt.outcome, Succeeded: tt.succeeded}}}
 			watcher.New().Run(tick, world)
-			tt.want.ID, tt.want.Endpoint, tt.want.Outcome = "r", "e", tt.outcome
+			tt.want.ID, tt.want.Endpoint, tt.want.Outcome, tt.want.Succeeded = "r", "e", tt.outcome, tt.succeeded
 			var got []modeler.Ended
 			for _, effect := range tick.Effects() {
 				if send, ok := effect.(modeler.Send); ok {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -157,6 +157,7 @@
 	world.Unassign(e.ID)
 	ended := modeler.Ended{
 		ID: e.ID, Endpoint: assignment.Plan.Endpoint.ID, Outcome: e.Outcome, Fingerprint: assignment.Request.Fingerprint,
+		Succeeded: e.Succeeded, Tokens: e.Tokens,
 	}
 	if e.FaultyEngine != "" {
 		// The endpoint refused the request because this helper does not process its part: it has stopped or is leaving.
--- a/internal/proof/loadtester/fleet_test.go
+++ b/internal/proof/loadtester/fleet_test.go
@@ -86,6 +86,8 @@
 	// nodes that are lost, and that come again some time later.
 	delay         func() time.Duration
 	lost, doubled float64
+	// learnsCosts is set if the nodes learn the costs of requests.
+	learnsCosts bool
 }
 
 const dataCentres = 3
--- a/internal/proof/loadtester/node_test.go
+++ b/internal/proof/loadtester/node_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/elector"
+	"damaskpick.example/damaskpick/internal/fleet/learner"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/internal/fleet/placer"
 	"damaskpick.example/damaskpick/internal/fleet/watcher"
@@ -41,7 +42,8 @@
 		fleet: f, world: modeler.NewWorld(self(i)), random: rand.New(rand.NewPCG(f.seed, uint64(i))),
 		waiters: map[modeler.RequestID]func(modeler.Decision){},
 		systems: []modeler.System{
-			elector.New(placer.LoadSummaries), watcher.New(), placer.New(placer.Options{ColdFactor: 1.5, ColdSlack: 5}),
+			elector.New(placer.LoadSummaries).WithCosts(learner.Summaries), learner.New(f.learnsCosts), watcher.New(),
+			placer.New(placer.Options{ColdFactor: 1.5, ColdSlack: 5}),
 		},
 	}
 	for other := range nodes {
