Add a command that explains where a request would go now

Cause: operators asked where a given request would go and why, without sending it.

Change: damaskpick explain asks a node at /explain on the port of its metrics. The control goroutine makes the comparison of a real placement, split from its decision (weigh, conclude), and changes nothing; a node that does not place for all asks the one that does, and says so if that does not answer. Text and JSON.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -92,7 +92,7 @@
 type adder func(parent *flags.Command, env *Environment) error
 
 func commands() []adder {
-	return []adder{addServe, addFleet, addSettings, addRules, addStatus, addReport, addTrace, addAddresses, addVersion}
+	return []adder{addServe, addFleet, addSettings, addRules, addStatus, addExplain, addReport, addTrace, addAddresses, addVersion}
 }
 
 // add adds a command without subcommands. Single newlines in long become spaces, because go-flags wraps the text to the width of
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -373,6 +373,9 @@
 	handlerAt(listen.Callers).fallback = n.track(callers)
 	if listen.MetricsPort > 0 {
 		handlerAt(net.JoinHostPort(n.settings.Node.IP, strconv.Itoa(listen.MetricsPort))).exact["/metrics"] = n.observer
+		handlerAt(net.JoinHostPort(n.settings.Node.IP, strconv.Itoa(listen.MetricsPort))).exact[listener.ExplainPath] = &listener.Explainer{
+			Snapshot: n.loop.Snapshot, Explain: n.loop.Explain, Port: listen.MetricsPort, Client: &http.Client{},
+		}
 	}
 	return handlers
 }
--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -74,6 +74,12 @@
 }
 
 func (s *testSite) start(t *testing.T, name, dc string) *node {
+	t.Helper()
+	return s.startWith(t, name, dc, func(*loader.Settings) {})
+}
+
+// startWith starts a node whose settings change has changed.
+func (s *testSite) startWith(t *testing.T, name, dc string, change func(*loader.Settings)) *node {
 	t.Helper()
 	ip := newLoopback()
 	settings := loader.Settings{
@@ -85,6 +91,7 @@
 		},
 		Addresses: loader.Addresses{KeepSeconds: 0.2, LongestKeep: 2}, Log: loader.Log{Level: "info"},
 	}
+	change(&settings)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() {
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -299,6 +299,12 @@
 	return call.Arrived.Add(limit)
 }
 
+// LeavesAt returns when the caller of a call that has just arrived disconnects if it receives nothing.
+func LeavesAt(call Call) time.Time {
+	f := &Forwarder{}
+	return f.callerDeadline(&progress{call: call, deadline: Deadline(call)})
+}
+
 // defaultTimeout applies when neither the caller nor the route states a timeout.
 const defaultTimeout = 30 * time.Second
 
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -77,6 +77,11 @@
 
 	// PlacementRequested asks for the placement of a request. The result is a Reply with a Decision.
 	PlacementRequested struct{ Request Request }
+	// ExplainRequested asks where a request would go. The result is an Explained effect with the same ID.
+	ExplainRequested struct {
+		ID      uint64
+		Request Request
+	}
 	// AttemptStarted reports that the first event of a response was received.
 	AttemptStarted struct{ ID RequestID }
 	// AttemptSilent reports that an attempt has received nothing for too long. The attempt continues until the request is placed elsewhere.
@@ -128,6 +133,7 @@
 func (TopicFailed) event()          {}
 func (QuarantinesRead) event()      {}
 func (PlacementRequested) event()   {}
+func (ExplainRequested) event()     {}
 func (AttemptStarted) event()       {}
 func (AttemptSilent) event()        {}
 func (AttemptEnded) event()         {}
@@ -176,6 +182,11 @@
 		ID       RequestID
 		Decision Decision
 	}
+	// Explained returns an explanation to the goroutine that waits for it.
+	Explained struct {
+		ID          uint64
+		Explanation Explanation
+	}
 	// Send sends a message to another node.
 	Send struct {
 		To      Node
@@ -222,6 +233,7 @@
 }
 
 func (Reply) effect()            {}
+func (Explained) effect()        {}
 func (Send) effect()             {}
 func (Fetch) effect()            {}
 func (Deliver) effect()          {}
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -46,6 +46,18 @@
 
 // reject returns a refusal that does not depend on the load of endpoints, or false if there is none.
 func reject(now time.Time, world *modeler.World, request modeler.Request) (modeler.Decision, bool) {
+	return rejectUnless(now, world, request, probes)
+}
+
+// rejectWithoutProbe returns what reject would return. It makes no request the probe of a quarantine.
+func rejectWithoutProbe(now time.Time, world *modeler.World, request modeler.Request) (modeler.Decision, bool) {
+	return rejectUnless(now, world, request, mayProbe)
+}
+
+// probeFunc reports whether a request is or would be the probe of the quarantined parts.
+type probeFunc func(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool
+
+func rejectUnless(now time.Time, world *modeler.World, request modeler.Request, probe probeFunc) (modeler.Decision, bool) {
 	if !world.Configuration.Loaded() {
 		return refusal(modeler.ReasonNoConfiguration, minRetryAfter), true
 	}
@@ -53,7 +65,7 @@
 	if !ok {
 		return refusal(modeler.ReasonNoEndpoint, maxRetryAfter), true
 	}
-	if quarantined(now, world, request) {
+	if quarantined(now, world, request, probe) {
 		return refusal(modeler.ReasonQuarantined, maxRetryAfter), true
 	}
 	if service.IsEngine() && service.Engine.Capacity > 0 && request.MaxMemory() > maxRequestSize(service.Engine) {
@@ -65,7 +77,7 @@
 // quarantined reports whether a request is refused because attempts with its fingerprint, or with a shared part of its prompt, have broken. A
 // part that is only suspected keeps a broken request from being sent again, also under a new id. A prompt is not refused if it lacks a part that
 // all broken ones had, or if it is the probe of the parts for which it would be.
-func quarantined(now time.Time, world *modeler.World, request modeler.Request) bool {
+func quarantined(now time.Time, world *modeler.World, request modeler.Request, probe probeFunc) bool {
 	if world.BrokenAttempts.Len() == 0 {
 		return false
 	}
@@ -83,12 +95,25 @@
 			blamed = append(blamed, part)
 		}
 	}
-	return len(blamed) > 0 && !probes(now, world, request.ID, blamed)
+	return len(blamed) > 0 && !probe(now, world, request.ID, blamed)
 }
 
-// probes reports whether the request is the probe of the quarantined parts, and makes it the probe if one is due. If the parts have different
-// companions, another request may tell them apart. Only the coordinator probes, so that there is one probe in the fleet.
+// probes reports whether the request is the probe of the quarantined parts, and makes it the probe if one is due.
 func probes(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
+	if !mayProbe(now, world, id, parts) {
+		return false
+	}
+	for _, part := range parts {
+		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe != id {
+			world.BrokenAttempts.Put(part, brokenAttempts.WithProbe(id, now))
+		}
+	}
+	return true
+}
+
+// mayProbe reports whether the request is the probe of the quarantined parts, or whether one is due. If the parts have different companions, another
+// request may tell them apart. Only the coordinator probes, so that there is one probe in the fleet.
+func mayProbe(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
 	if !world.Coordinates() {
 		return false
 	}
@@ -99,45 +124,65 @@
 			return false
 		}
 	}
-	for _, part := range parts {
-		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe != id {
-			world.BrokenAttempts.Put(part, brokenAttempts.WithProbe(id, now))
-		}
-	}
 	return true
 }
 
+// weighing is the comparison of the candidates for a request.
+type weighing struct {
+	service    modeler.Service
+	candidates []Candidate
+	// proposal is valid if found is set. waits is set if the request waits although there is a proposal.
+	proposal     Proposal
+	found, waits bool
+}
+
+// weigh compares the candidates for a request. The result is valid until the next call.
+func (s *System) weigh(tick *modeler.Tick, world *modeler.World, service modeler.Service, request modeler.Request) weighing {
+	w := weighing{service: service, candidates: s.candidates(tick, world, service, request)}
+	limit := s.longEngines(tick.Now, world, service, request, w.candidates)
+	w.proposal, w.found, w.waits = s.proposeWithin(tick.Now, world, service, request, w.candidates, limit)
+	w.found = w.found && mayRunLate(tick.Now, w.proposal.Plan, w.candidates)
+	if w.found && s.options.KeepsRoom && service.IsEngine() {
+		w.waits = w.waits || waitsBetter(tick.Now, request, w.proposal.Plan)
+	}
+	w.waits = w.waits || w.found && !acceptable(tick.Now, request, service.Engine.PrefillTime(request.Prompt), w.proposal)
+	return w
+}
+
 // decide returns a decision, or false if the request keeps waiting. reject must not apply to the request.
 func (s *System) decide(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting) (modeler.Decision, bool) {
 	s.decisions++
 	request := entry.Request
 	service, _ := world.Configuration.Service(request.Service)
-	candidates := s.candidates(tick, world, service, request)
-	proposal, found, waits := s.proposeWithin(tick.Now, world, service, request, candidates, s.longEngines(tick.Now, world, service, request, candidates))
-	found = found && mayRunLate(tick.Now, proposal.Plan, candidates)
-	if found && s.options.KeepsRoom && service.IsEngine() {
-		waits = waits || waitsBetter(tick.Now, request, proposal.Plan)
-	}
-	if found && !waits && acceptable(tick.Now, request, service.Engine.PrefillTime(request.Prompt), proposal) && s.acquire(tick.Now, world, service, request, proposal) {
-		return modeler.Decision{Plan: proposal.Plan}, true
+	w := s.weigh(tick, world, service, request)
+	// The limits are counted only if the proposal is carried out.
+	takes := w.found && (!w.waits || !tick.Now.Before(waitsUntil(request)))
+	return s.conclude(tick.Now, world, request, w, takes && s.acquire(tick.Now, world, service, request, w.proposal))
+}
+
+// conclude returns the decision that follows from a weighing, or false if the request keeps waiting. allowed is set if the limits of the proposal's endpoint
+// allow the request.
+func (s *System) conclude(now time.Time, world *modeler.World, request modeler.Request, w weighing, allowed bool) (modeler.Decision, bool) {
+	if w.found && !w.waits && allowed {
+		return modeler.Decision{Plan: w.proposal.Plan}, true
 	}
-	if !found {
-		shared := s.placesLocally(tick.Now, world, request)
-		if wait, limited := s.limitedWait(tick.Now, world, request, shared); limited && tick.Now.Add(wait).After(waitsUntil(request)) {
+	if !w.found {
+		shared := s.placesLocally(now, world, request)
+		if wait, limited := s.limitedWait(now, world, request, shared); limited && now.Add(wait).After(waitsUntil(request)) {
 			return refusal(modeler.ReasonLimited, min(max(wait, minRetryAfter), maxRetryAfter)), true
 		}
 	}
-	if !tick.Now.Before(waitsUntil(request)) {
-		if found && s.acquire(tick.Now, world, service, request, proposal) {
-			// No better proposal became available, and a late response is worth more than none.
-			return modeler.Decision{Plan: proposal.Plan}, true
-		}
-		if len(candidates) == 0 {
-			return refusal(modeler.ReasonNoEndpoint, minRetryAfter), true
-		}
-		return refusal(modeler.ReasonOverloaded, retryAfter(tick.Now, request)), true
+	if now.Before(waitsUntil(request)) {
+		return modeler.Decision{}, false
 	}
-	return modeler.Decision{}, false
+	if w.found && allowed {
+		// No better proposal became available, and a late response is worth more than none.
+		return modeler.Decision{Plan: w.proposal.Plan}, true
+	}
+	if len(w.candidates) == 0 {
+		return refusal(modeler.ReasonNoEndpoint, minRetryAfter), true
+	}
+	return refusal(modeler.ReasonOverloaded, retryAfter(now, request)), true
 }
 
 // maxRequestSize returns the size of the largest request that maxEngines engines can hold together when a fraction of the memory of each is
@@ -235,10 +280,7 @@
 		if len(eligible) == limit {
 			break
 		}
-		if endpoint.Service != service.ID || !s.acceptsRequests(now, world, endpoint) || contains(request.Tried, id) {
-			continue
-		}
-		if request.Node == world.Self.ID && world.TermsOf(endpoint).Paused(now) || !s.cold.allows(now, endpoint, coldLimit) {
+		if endpoint.Service != service.ID || s.exclusion(now, world, request, endpoint, coldLimit) != "" {
 			continue
 		}
 		health, _ := world.Health.Get(id)
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -78,6 +78,8 @@
 		switch e := event.(type) {
 		case modeler.PlacementRequested:
 			s.handlePlacementRequested(tick, world, e.Request)
+		case modeler.ExplainRequested:
+			tick.Emit(modeler.Explained{ID: e.ID, Explanation: s.explain(tick, world, e.Request)})
 		case modeler.PlacementCancelled:
 			s.handlePlacementCancelled(tick, world, e.ID)
 		case modeler.AttemptStarted:
--- a/internal/fleet/runner/loop.go
+++ b/internal/fleet/runner/loop.go
@@ -49,6 +49,9 @@
 	// configured is closed when the first snapshot with a configuration is published.
 	configured chan struct{}
 	waiters    map[modeler.RequestID]chan modeler.Decision
+	// explained holds the channels for explanations by their IDs, which count up.
+	explained     map[uint64]chan modeler.Explanation
+	explanationID atomic.Uint64
 	// publishedAt is when the current snapshot was built, and publishedOffset the offset of the configuration in it.
 	publishedAt     time.Time
 	publishedOffset int64
@@ -58,11 +61,13 @@
 type envelope struct {
 	event    modeler.Event
 	decision chan modeler.Decision
+	// explanation is the channel for the answer to an ExplainRequested; nil for other events.
+	explanation chan modeler.Explanation
 }
 
 // New returns a Loop over world and publishes the first snapshot. Run must be called exactly once.
 func New(world *modeler.World, options Options) *Loop {
-	l := &Loop{options: options, world: world, waiters: map[modeler.RequestID]chan modeler.Decision{}, configured: make(chan struct{})}
+	l := &Loop{options: options, world: world, waiters: map[modeler.RequestID]chan modeler.Decision{}, explained: map[uint64]chan modeler.Explanation{}, configured: make(chan struct{})}
 	l.inbox, l.closeInbox = batcher.NewInbox[envelope](eventBuffer, maxBatch)
 	l.publish(options.Now())
 	return l
@@ -88,6 +93,16 @@
 	return decision, err
 }
 
+// Explain returns where a request would go now. Nothing is changed by it.
+func (l *Loop) Explain(ctx context.Context, request modeler.Request) (modeler.Explanation, error) {
+	result := make(chan modeler.Explanation, 1)
+	event := modeler.ExplainRequested{ID: l.explanationID.Add(1), Request: request}
+	if err := l.inbox.Put(ctx, envelope{event: event, explanation: result}); err != nil {
+		return modeler.Explanation{}, err
+	}
+	return batcher.Await(ctx, l.inbox, result)
+}
+
 // Snapshot returns the latest published snapshot.
 func (l *Loop) Snapshot() *modeler.Snapshot { return l.snapshot.Load() }
 
@@ -118,6 +133,8 @@
 			l.waiters[event.Request.ID] = e.decision
 		case modeler.PlacementCancelled:
 			delete(l.waiters, event.ID)
+		case modeler.ExplainRequested:
+			l.explained[event.ID] = e.explanation
 		}
 		tick.Events = append(tick.Events, e.event)
 	}
@@ -138,14 +155,18 @@
 func (l *Loop) reply(effects []modeler.Effect) []modeler.Effect {
 	rest := effects[:0]
 	for _, effect := range effects {
-		reply, ok := effect.(modeler.Reply)
-		if !ok {
+		switch e := effect.(type) {
+		case modeler.Reply:
+			if waiter, ok := l.waiters[e.ID]; ok {
+				delete(l.waiters, e.ID)
+				waiter <- e.Decision
+			}
+		case modeler.Explained:
+			// The channel has room for the explanation, also if nobody waits any more.
+			l.explained[e.ID] <- e.Explanation
+			delete(l.explained, e.ID)
+		default:
 			rest = append(rest, effect)
-			continue
-		}
-		if waiter, ok := l.waiters[reply.ID]; ok {
-			delete(l.waiters, reply.ID)
-			waiter <- reply.Decision
 		}
 	}
 	return rest
