Do not count a waiting request against itself when room is kept for short work

Cause: longEngines counted the request itself among those that wait, which an explanation of it cannot do: a stored plan of TestExplanationAgrees was explained as Place and waited.

Change: the request is left out.

--- a/internal/fleet/placer/room.go
+++ b/internal/fleet/placer/room.go
@@ -48,7 +48,7 @@
 		}
 	}
 	for _, entry := range world.Waiting.All() {
-		if entry.Request.Service == request.Service {
+		if entry.Request.Service == request.Service && entry.Request.ID != request.ID {
 			needed++
 		}
 	}
