Let long prompts without time to spare use two engines while short work needs the rest

Change: at least two engines remain for such a prompt, the rest only if short work does not need them. A service is uneven only if a kind takes 150 ms or more.

--- a/internal/fleet/learner/learner.go
+++ b/internal/fleet/learner/learner.go
@@ -21,6 +21,9 @@
 	unevenRatio   = 6
 	evenRatio     = 3
 	minKindWeight = 1.5
+	// minHeavyCall is the predicted time in milliseconds from which on a kind of call counts as heavy. The choice of the endpoint matters less for
+	// shorter ones than the round trip to the node that places them.
+	minHeavyCall = 150
 	// checkInterval is the time between two looks at all kinds of calls.
 	checkInterval = time.Second
 	// maxSummaries bounds the routes that a digest tells of.
@@ -77,7 +80,7 @@
 		}
 		lowest, highest := world.CallTimes.Range(modeler.CostGroup(service.ID), minKindWeight, tick.Now)
 		was := world.UnevenServices[service.ID]
-		uneven := highest > unevenRatio*lowest || was && highest > evenRatio*lowest
+		uneven := highest >= minHeavyCall && (highest > unevenRatio*lowest || was && highest > evenRatio*lowest)
 		if uneven == was {
 			continue
 		}
--- a/internal/fleet/placer/room.go
+++ b/internal/fleet/placer/room.go
@@ -16,6 +16,8 @@
 	minSlack = 300 * time.Millisecond
 	// shortRoomFraction is the fraction of the slots of the engines that process no long prompt which the running and waiting requests may need.
 	shortRoomFraction = 0.85
+	// minLongEngines is the number of engines that a long prompt may use when it has no time to spare, however many slots short work needs.
+	minLongEngines = 2
 	// settleTime is how long a node that places requests after all nodes were gone lets long prompts wait from its first request on: most callers
 	// come back within that time, and what they need is not known before.
 	settleTime = 600 * time.Millisecond
@@ -66,8 +68,12 @@
 		return proposal, found, false
 	}
 	best, found := s.propose(now, world, service, request, candidates, maxEngines)
-	if !found || request.Due.Sub(now)-best.Plan.TimeToFirstEvent < minSlack {
-		return best, found, false
+	if !found {
+		return best, false, false
+	}
+	if request.Due.Sub(now)-best.Plan.TimeToFirstEvent < minSlack {
+		proposal, found = s.propose(now, world, service, request, candidates, max(limit, minLongEngines))
+		return proposal, found, false
 	}
 	if limit == 0 {
 		return best, true, true
