--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -41,7 +41,7 @@
 	})
 }
 
-func newSiteWith(t *testing.T, endpoints []*platformtest.Endpoint) *testSite {
+func newSiteWith(t testing.TB, endpoints []*platformtest.Endpoint) *testSite {
 	t.Helper()
 	s := &testSite{store: platformtest.NewStore()}
 	server := httptest.NewServer(s.store)
@@ -73,13 +73,13 @@
 	return fmt.Sprintf("127.1.%d.%d", n/250, n%250+1)
 }
 
-func (s *testSite) start(t *testing.T, name, dc string) *node {
+func (s *testSite) start(t testing.TB, name, dc string) *node {
 	t.Helper()
 	return s.startWith(t, name, dc, func(*loader.Settings) {})
 }
 
 // startWith starts a node whose settings change has changed.
-func (s *testSite) startWith(t *testing.T, name, dc string, change func(*loader.Settings)) *node {
+func (s *testSite) startWith(t testing.TB, name, dc string, change func(*loader.Settings)) *node {
 	t.Helper()
 	ip := newLoopback()
 	settings := loader.Settings{
@@ -106,7 +106,7 @@
 	return n
 }
 
-func freeTCPAddress(t *testing.T, ip string) string {
+func freeTCPAddress(t testing.TB, ip string) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
 	assert.NilError(t, err)
@@ -114,7 +114,7 @@
 	return l.Addr().String()
 }
 
-func freeUDPPort(t *testing.T, ip string) int {
+func freeUDPPort(t testing.TB, ip string) int {
 	t.Helper()
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(ip, "0"))
 	assert.NilError(t, err)
@@ -152,7 +152,7 @@
 	return answer{code: response.StatusCode, body: string(body), err: err}
 }
 
-func waitFor(t *testing.T, condition func() bool) {
+func waitFor(t testing.TB, condition func() bool) {
 	t.Helper()
 	deadline := time.After(10 * time.Second)
 	ticker := time.NewTicker(10 * time.Millisecond)
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -363,7 +363,7 @@
 
 // withPrediction returns the assignment with the time that it is expected to take if it is a call to a plain service.
 func (s *System) withPrediction(now time.Time, world *modeler.World, a modeler.Assignment) modeler.Assignment {
-	if a.Plan.PartPrefill <= 0 {
+	if a.Plan.PartPrefill <= 0 && world.CallTimes != nil {
 		a.Predicted = world.PredictedCall(a.Request, now)
 		load := loadOf(world, a.Plan.Endpoint.ID, modeler.EngineProfile{})
 		if !world.Coordinates() {
--- a/internal/web/accountant/accountant.go
+++ b/internal/web/accountant/accountant.go
@@ -217,6 +217,47 @@
 	a.rows.Put(h.id, row.WithPhase(phase, a.options.Now()))
 }
 
+// Enter begins a phase, like Begin, and sets the bytes that are held for it, like Charge. It is faster than both while memory is not short.
+func (h *Hold) Enter(ctx context.Context, phase Phase, bytes int64, end func()) error {
+	h.endMu.Lock()
+	h.phases++
+	if end != nil {
+		h.end = end
+	}
+	h.received.Store(0)
+	a := h.account
+	a.mu.Lock()
+	row, _ := a.rows.Get(h.id)
+	if row.Ended {
+		a.leaving--
+	}
+	h.ended.Store(false)
+	row = row.WithPhase(phase, a.options.Now())
+	target := min(bytes, a.addressBytes())
+	more := target - row.Held
+	entered := more <= 0 || h.share.free.TryAcquire(more)
+	if entered && more > 0 && !a.total.TryAcquire(more) {
+		h.share.free.Release(more)
+		entered = false
+	}
+	if entered {
+		row = row.WithHeld(target)
+		a.held += more
+		h.share.held += more
+	}
+	a.rows.Put(h.id, row)
+	a.mu.Unlock()
+	h.endMu.Unlock()
+	if entered && more < 0 {
+		h.share.free.Release(-more)
+		a.total.Release(-more)
+	}
+	if entered {
+		return nil
+	}
+	return h.Charge(ctx, bytes)
+}
+
 // Read records that n more bytes of a body were read.
 func (h *Hold) Read(n int) { h.received.Add(int64(n)) }
 
--- a/internal/web/charger/charger.go
+++ b/internal/web/charger/charger.go
@@ -43,8 +43,9 @@
 
 // connection is the account of a connection.
 type connection struct {
-	hold  *accountant.Hold
-	close func()
+	hold *accountant.Hold
+	// end ends the connection while it is not being served, and close closes its account.
+	end, close func()
 }
 
 // New returns a Charger for servers whose headers have at most headBytes.
@@ -57,14 +58,15 @@
 
 // ConnContext opens the account of a new connection. It is the ConnContext callback of the http.Server, and closes the connection if there is no room.
 func (c *Charger) ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	hold, closeHold, err := c.account.Open(addressOf(conn), func() { _ = conn.Close() })
+	end := func() { _ = conn.Close() }
+	hold, closeHold, err := c.account.Open(addressOf(conn), end)
 	if err != nil {
 		_ = conn.Close()
 		return ctx
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conns[conn] = &connection{hold: hold, close: closeHold}
+	c.conns[conn] = &connection{hold: hold, end: end, close: closeHold}
 	return context.WithValue(ctx, connKey{}, hold)
 }
 
@@ -89,13 +91,12 @@
 	}
 	switch state {
 	case http.StateActive:
-		open.hold.Begin(accountant.Reading, func() { _ = conn.Close() })
-		if err := open.hold.Charge(context.Background(), c.headBytes); err != nil {
+		if err := open.hold.Enter(context.Background(), accountant.Reading, c.headBytes, open.end); err != nil {
 			_ = conn.Close()
 		}
 	case http.StateIdle:
-		_ = open.hold.Charge(context.Background(), 0)
-		open.hold.Begin(accountant.Silent, func() { _ = conn.Close() })
+		// A smaller charge never fails.
+		_ = open.hold.Enter(context.Background(), accountant.Silent, 0, open.end)
 	case http.StateClosed, http.StateHijacked:
 		open.close()
 	case http.StateNew:
@@ -105,11 +106,15 @@
 // Request is the account of a request. It must not be used after the request's handler has returned.
 type Request struct {
 	hold *accountant.Hold
-	// held is the number of bytes that are charged for the request itself, without its answer.
-	held int64
+	// held is the number of bytes that are held for the request itself, without its answer, and charged the number that is charged for both.
+	held, charged int64
 }
 
-// NewRequest returns the account of a request that is being handled, whose header has headBytes. The clean-up function must be called at its end.
+// answerBytes is charged with each request for the begin of its answer, so that short answers need no charge of their own.
+const answerBytes = 4 << 10
+
+// NewRequest returns the account of a request that is being handled, whose header has headBytes. What was charged while the header was read is kept for
+// its body. The clean-up function must be called at its end. It returns large charges; small ones return when the connection is idle or closed.
 func (c *Charger) NewRequest(r *http.Request, headBytes int64) (*Request, func(), error) {
 	hold, ok := r.Context().Value(connKey{}).(*accountant.Hold)
 	closeHold := func() {}
@@ -120,19 +125,42 @@
 		}
 	}
 	request := &Request{hold: hold, held: headBytes}
-	if err := hold.Charge(r.Context(), headBytes); err != nil {
-		closeHold()
-		return nil, nil, ErrGaveWay
+	if ok {
+		request.charged = c.headBytes
 	}
 	return request, func() {
-		_ = hold.Charge(context.Background(), 0)
+		if request.charged > c.headBytes {
+			_ = hold.Charge(context.Background(), 0)
+		}
 		closeHold()
 	}, nil
 }
 
-// Charge sets the bytes that are held for the answer, in addition to those for the request.
+// Charge makes sure that as many bytes are charged for the answer, in addition to those for the request.
 func (q *Request) Charge(ctx context.Context, bytes int64) error {
-	return q.hold.Charge(ctx, q.held+bytes)
+	return q.need(ctx, q.held+bytes)
+}
+
+// need charges bytes unless as many are charged already.
+func (q *Request) need(ctx context.Context, bytes int64) error {
+	if bytes <= q.charged {
+		return nil
+	}
+	if err := q.hold.Charge(ctx, bytes); err != nil {
+		return err
+	}
+	q.charged = bytes
+	return nil
+}
+
+// serve begins to serve the request with a charge for what it holds and the begin of its answer.
+func (q *Request) serve(ctx context.Context) error {
+	charged := q.held + answerBytes
+	if err := q.hold.Enter(ctx, accountant.Serving, charged, nil); err != nil {
+		return ErrGaveWay
+	}
+	q.charged = charged
+	return nil
 }
 
 // ReadBody reads a body of at most limit bytes until the given time, and charges it. From then on the request is being served and does not give way.
@@ -142,8 +170,7 @@
 		return nil, ErrTooLarge
 	}
 	if r.ContentLength == 0 {
-		q.hold.Begin(accountant.Serving, nil)
-		return nil, nil
+		return nil, q.serve(r.Context())
 	}
 	control := http.NewResponseController(w)
 	// An error of the control means that the writer supports no deadlines, as in tests; reading is then not bounded.
@@ -158,9 +185,9 @@
 	if err != nil {
 		return nil, err
 	}
-	q.hold.Begin(accountant.Serving, nil)
+	err = q.serve(r.Context())
 	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	return body, err
 }
 
 // read reads a body into a buffer that doubles as the body arrives. Both buffers are charged while one is copied to the other.
@@ -175,12 +202,11 @@
 	for {
 		if len(body) == cap(body) {
 			size := min(max(2*int64(cap(body)), firstBody), largest)
-			if err := q.hold.Charge(r.Context(), head+int64(cap(body))+size); err != nil {
+			if err := q.need(r.Context(), head+int64(cap(body))+size); err != nil {
 				return nil, ErrGaveWay
 			}
 			body = append(make([]byte, 0, size), body...)
 			q.held = head + size
-			_ = q.hold.Charge(r.Context(), q.held)
 		}
 		n, err := r.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
