--- a/internal/fleet/placer/policy.go
+++ b/internal/fleet/placer/policy.go
@@ -88,12 +88,18 @@
 
 // Propose implements Policy.
 func (LeastBusy) Propose(_ time.Time, _ modeler.Request, candidates []Candidate) (Proposal, bool) {
+	return leastLoaded(candidates, func(c *Candidate) float64 { return float64(c.Load.Running) / float64(c.Endpoint.Slots) })
+}
+
+// leastLoaded chooses the endpoint with a free slot that has the lowest load per slot, after adding the costs of failures and distance.
+func leastLoaded(candidates []Candidate, load func(*Candidate) float64) (Proposal, bool) {
 	best, bestCost := -1, 0.0
-	for i, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		if c.LimitReached || c.Load.Running >= c.Endpoint.Slots {
 			continue
 		}
-		cost := float64(c.Load.Running)/float64(c.Endpoint.Slots) + failureCost*c.FailureRate
+		cost := load(c) + failureCost*c.FailureRate
 		if !c.SameDataCentre {
 			cost += remoteCost
 		}
@@ -118,25 +124,10 @@
 
 // Propose implements Policy.
 func (p LeastWork) Propose(now time.Time, _ modeler.Request, candidates []Candidate) (Proposal, bool) {
-	best, bestCost := -1, 0.0
-	for i, c := range candidates {
-		if c.LimitReached || c.Load.Running >= c.Endpoint.Slots {
-			continue
-		}
-		pace := max(c.Pace, minCallPace)
-		work := scale(c.Load.Work(now)+p.Predicted, pace)
-		cost := float64(work)/float64(p.Typical)/float64(c.Endpoint.Slots) + failureCost*c.FailureRate
-		if !c.SameDataCentre {
-			cost += remoteCost
-		}
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-		}
-	}
-	if best < 0 {
-		return Proposal{}, false
-	}
-	return Proposal{Plan: modeler.Plan{Endpoint: candidates[best].Endpoint}}, true
+	return leastLoaded(candidates, func(c *Candidate) float64 {
+		work := scale(c.Load.Work(now)+p.Predicted, max(c.Pace, minCallPace))
+		return float64(work) / float64(p.Typical) / float64(c.Endpoint.Slots)
+	})
 }
 
 // minCallPace bounds how much faster than the others an endpoint of a plain service counts.
--- a/internal/fleet/placer/room.go
+++ b/internal/fleet/placer/room.go
@@ -59,7 +59,7 @@
 }
 
 // proposeWithin returns the proposal for a request that may use a limited number of engines, and whether the request waits instead of using it. It
-// waits only as long as the best proposal without the limit has time to spare; then that one is used.
+// waits only as long as the best proposal without the limit has time to spare; then it uses minLongEngines, or more if the limit allows them.
 func (s *System) proposeWithin(
 	now time.Time, world *modeler.World, service modeler.Service, request modeler.Request, candidates []Candidate, limit int,
 ) (proposal Proposal, found, waits bool) {
