--- a/internal/web/accountant/accountant.go
+++ b/internal/web/accountant/accountant.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// Hold is the account of one connection. Its methods must not be called after its clean-up function. Charge, Read and Begin must not be called
-// concurrently with each other.
+// Hold is the account of one connection. Its methods must not be called after its clean-up function. Enter, Charge, Read and Begin must not be
+// called concurrently with each other.
 type Hold struct {
 	account *Account
 	id      HoldID
@@ -262,8 +262,8 @@
 func (h *Hold) Read(n int) { h.received.Add(int64(n)) }
 
 // Charge sets the bytes that are held for the connection. If that takes more memory than is free, other connections give way, and Charge waits for
-// their memory. It returns ErrShort if they do not suffice, and the error of ctx if that ends first; the charge is unchanged then. What exceeds the
-// memory of an address is charged as that memory, so that a request of any size can be held while there are no others. A smaller charge never fails.
+// their memory. It returns ErrShort if they do not suffice or ctx ends first; the charge is unchanged then. What exceeds the memory
+// of an address is charged as that memory, so that a request of any size can be held while there are no others. A smaller charge never fails.
 func (h *Hold) Charge(ctx context.Context, bytes int64) error {
 	a := h.account
 	a.mu.Lock()
