Log when a node lacks operators' records and when their state is not sent

Cause: the log could not tell why a node kept an old configuration.

Change: OperatorsBehind and OperatorsCaughtUp on a node that lacks records which another node has read, StateNotSent on the node that leaves them out. No decision changes.

--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -59,6 +59,12 @@
 	LogEventStoreLost LogEventName = "StoreLost"
 	// LogEventStoreRegained: Topic, SinceFailure.
 	LogEventStoreRegained LogEventName = "StoreRegained"
+	// LogEventOperatorsBehind: Next, Target, For, Failures, Reason.
+	LogEventOperatorsBehind LogEventName = "OperatorsBehind"
+	// LogEventOperatorsCaughtUp: Next, After, Failures.
+	LogEventOperatorsCaughtUp LogEventName = "OperatorsCaughtUp"
+	// LogEventStateNotSent: Bytes, Limit, Next.
+	LogEventStateNotSent LogEventName = "StateNotSent"
 	// LogEventRecordUnreadable: Topic, Key, Offset, error.
 	LogEventRecordUnreadable LogEventName = "RecordUnreadable"
 )
@@ -90,7 +96,7 @@
 	LogEventNodeRegistered, LogEventNodeTimedOut, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
 	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
-	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable,
+	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateNotSent,
 	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAttemptRepeated, LogEventRequestEnded,
 	LogEventRequestRejected,
 }
--- a/internal/fleet/poller/operators.go
+++ b/internal/fleet/poller/operators.go
@@ -41,22 +41,23 @@
 	}
 }
 
-// changedState returns the state if it has changed since the last call and fits one datagram.
-func (o *operatorRecords) changedState() (modeler.OperatorState, bool) {
+// changedState returns the state and its size if it has changed since the last call.
+func (o *operatorRecords) changedState() (state modeler.OperatorState, size int, changed bool) {
 	if !o.changed {
-		return modeler.OperatorState{}, false
+		return modeler.OperatorState{}, 0, false
 	}
 	o.changed = false
-	return o.state()
+	state, size = o.state()
+	return state, size, true
 }
 
-// state returns all records in the order of their offsets, and whether they fit one datagram.
-func (o *operatorRecords) state() (modeler.OperatorState, bool) {
+// state returns all records in the order of their offsets, and the size of their keys and values in bytes.
+func (o *operatorRecords) state() (modeler.OperatorState, int) {
 	state, size := modeler.OperatorState{Next: o.next}, 0
 	for _, record := range o.records {
 		size += len(record.Key) + len(record.Value)
 		state.Records = append(state.Records, record)
 	}
 	slices.SortFunc(state.Records, func(a, b modeler.Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	return state, size <= maxStateBytes
+	return state, size
 }
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -67,6 +67,7 @@
 	lastChangeEnd int64
 
 	operators operatorRecords
+	lag       lag
 	// ownReadAt is when this node itself last read the operators' records. readerSeenAt is when this node last received a heartbeat of the
 	// coordinator or a node of lower rank that reads for all nodes.
 	ownReadAt, readerSeenAt time.Time
@@ -103,6 +104,7 @@
 	for i, topic := range topics {
 		s.fetch(tick, world, topic, &s.states[i])
 	}
+	s.lag.report(tick, world.NextOffsets[modeler.Operators], s.states[modeler.Operators].target)
 	s.updateReadPositions(tick.Now, world)
 }
 
@@ -142,6 +144,9 @@
 	}
 	state := &s.states[e.Topic]
 	state.startedAt = time.Time{}
+	if e.Topic == modeler.Operators {
+		s.lag.fail(e.Reason)
+	}
 	limit := maxOtherBackoff
 	if world.IsHub || !state.wasRead || world.Coordinator == "" || world.Coordinates() {
 		limit = maxBackoff
@@ -179,9 +184,15 @@
 		s.broadcast(tick, world, modeler.EndpointChanges{From: s.sentEnd, Next: end, Changes: s.changes})
 	}
 	s.changes, s.sentEnd = nil, end
-	if state, ok := s.operators.changedState(); ok {
+	if state, size, ok := s.operators.changedState(); ok {
 		state.Age = tick.Now.Sub(world.ConfirmedAt[modeler.Operators])
-		s.broadcast(tick, world, state)
+		if size <= maxStateBytes {
+			s.broadcast(tick, world, state)
+		} else if world.ReadsForAll || world.Coordinates() {
+			tick.Emit(modeler.LogEvent{Name: modeler.LogEventStateNotSent, Fields: []modeler.LogField{
+				{Key: "Bytes", Value: size}, {Key: "Limit", Value: maxStateBytes}, {Key: "Next", Value: state.Next},
+			}})
+		}
 	}
 }
 
@@ -242,7 +253,7 @@
 	if !ok || !world.ReadsForAll && !world.Coordinates() || beat.ReadPositions[modeler.Operators].End >= s.operators.next {
 		return
 	}
-	if state, ok := s.operators.state(); ok {
+	if state, size := s.operators.state(); size <= maxStateBytes {
 		state.Age = tick.Now.Sub(world.ConfirmedAt[modeler.Operators])
 		tick.Emit(modeler.Send{To: peer, Message: world.Message(state)})
 	}
