Do not take a read of a part of the records for a confirmation

Callers saw 404 for a route that operators had added, from a node whose log named a configuration confirmed 0.9 s before.

Cause: the store returns at most 1 MiB a read. A response that ended before the end of the topic still set the time at which the node's state was current, so that the node waited for its state to grow old before it read on.

Change: pages name the end of the topic. A read that ends before it confirms nothing, and the node reads on at once.

The new tests of follower and poller fail with either half of the change taken out.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -138,11 +138,14 @@
 	}
 	f.postRecords(page.Records)
 	current := startedAt
-	if len(page.Records) == 0 {
+	switch {
+	case page.Next < page.End:
+		current = time.Time{}
+	case len(page.Records) == 0:
 		// The store held the call for request.Wait and found no record until then.
 		current = startedAt.Add(request.Wait)
 	}
-	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, ConfirmedAt: current, Records: page.Records})
+	f.Post(modeler.TopicRead{Topic: f.Source.Topic, Next: page.Next, End: page.End, ConfirmedAt: current, Records: page.Records})
 	return nil
 }
 
@@ -222,7 +225,7 @@
 	}
 	f.Post(modeler.TopicListed{Topic: f.Source.Topic, Keys: keys, End: page.Next})
 	f.listed.Store(true)
-	read.Topic, read.Next, read.Records = f.Source.Topic, page.Next, page.Records
+	read.Topic, read.Next, read.End, read.Records = f.Source.Topic, page.Next, page.End, page.Records
 	f.Post(read)
 }
 
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -173,3 +173,41 @@
 		Topic: modeler.Operators, Next: 8, ConfirmedAt: time.Unix(9, 0), Records: []modeler.Record{record("a", 7)}, Listed: true, FromPeer: true,
 	})
 }
+
+// TestPartialRead guards against a node that takes its state for current although the response of the store held only a part of the records.
+func TestPartialRead(t *testing.T) {
+	tests := []struct {
+		name      string
+		end       int64
+		confirmed bool
+	}{
+		{"part of the records", 9, false}, {"all records", 6, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &store{
+				lists: []result{{page: modeler.Page{Next: 5, End: 5}}},
+				reads: []result{{page: modeler.Page{Next: 6, End: tt.end, Records: []modeler.Record{record("b", 5)}}}}, end: cancel,
+			}
+			var reads []modeler.TopicRead
+			var f *follower.Follower
+			post := func(e modeler.Event) {
+				if read, ok := e.(modeler.TopicRead); ok {
+					reads = append(reads, read)
+					f.Fetch(modeler.Fetch{From: read.Next})
+				}
+			}
+			source := follower.Source{
+				Topic: modeler.Endpoints, Key: func(key string) (string, bool) { return key, true },
+				Decode: func(modeler.Record) (modeler.Event, error) { return nil, nil },
+			}
+			f = follower.New(s, source, post, nil)
+			f.Fetch(modeler.Fetch{})
+			assert.ErrorIs(t, f.Run(ctx), context.Canceled)
+			assert.Equal(t, len(reads), 2)
+			assert.Equal(t, !reads[1].ConfirmedAt.IsZero(), tt.confirmed)
+			assert.Equal(t, reads[1].End, tt.end)
+		})
+	}
+}
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -55,10 +55,11 @@
 		// End is the end offset of the topic when the listing began.
 		End int64
 	}
-	// TopicRead reports that all records before Next were read, and that there were no later records at the time ConfirmedAt.
+	// TopicRead reports that all records before Next were read, and that there were no later records at the time ConfirmedAt. ConfirmedAt is zero if there
+	// were: the response held only a part of the records before End.
 	TopicRead struct {
 		Topic       Topic
-		Next        int64
+		Next, End   int64
 		ConfirmedAt time.Time
 		// Records are the records that were read. It must not be modified.
 		Records []Record
--- a/internal/fleet/modeler/store.go
+++ b/internal/fleet/modeler/store.go
@@ -14,6 +14,8 @@
 	Records []Record
 	// Next is the offset at which to continue reading.
 	Next int64
+	// End is the end offset of the topic at the time of the read. If it is higher than Next, the page holds only a part of the records.
+	End int64
 }
 
 // TruncatedError reports that the requested records are no longer in the store. First is the lowest offset that can be read.
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -48,8 +48,8 @@
 	// next is the earliest start of the next read.
 	next    time.Time
 	backoff time.Duration
-	// target is the offset after the last change that another node has read, and behindSince is when this node was found to have read less,
-	// or zero.
+	// target is the offset after the last change that another node has read, or the end of the topic as of the last read of this node, and behindSince is
+	// when this node was found to have read less, or zero.
 	target      int64
 	behindSince time.Time
 	// wasRead is set after the first read, by this node or another one.
@@ -124,6 +124,7 @@
 			s.ownReadAt = e.ConfirmedAt
 		}
 	}
+	state.target = max(state.target, e.End)
 	if state.target <= world.NextOffsets[e.Topic] {
 		state.behindSince = time.Time{}
 	}
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -169,3 +169,16 @@
 	behind := modeler.ReadPosition{End: 9, LastChangeEnd: 9}
 	assert.DeepEqual(t, fetches(missed.run(beat(modeler.ReadPosition{End: 5, LastChangeEnd: 5}, behind))), []modeler.Topic{modeler.Endpoints})
 }
+
+// TestPartialRead guards against a node that waits for the end of its state's lifetime although the last response held only a part of the records.
+func TestPartialRead(t *testing.T) {
+	for _, topic := range []modeler.Topic{modeler.Operators, modeler.Endpoints} {
+		t.Run(topic.String(), func(t *testing.T) {
+			n := newNode("n", "other")
+			n.run(modeler.TopicRead{Topic: topic, Next: 7, End: 9})
+			assert.Equal(t, n.world.ConfirmedAt[topic], start)
+			n.now = n.now.Add(300 * time.Millisecond)
+			assert.DeepEqual(t, fetches(n.run()), []modeler.Topic{topic})
+		})
+	}
+}
