Read the newest records instead of all when several are missing

Callers saw a configuration that was up to ten versions old from nodes that the store had turned away, for 4 to 5 s after it served them again.

Cause: such a node read every version in full. A response of up to 1 MiB took most of the 0.9 s of a read over 14 Mbit/s, the read ended with its deadline, and a pause of 2 s followed, as if the node lacked nothing.

Change: a node that lacks several of the operators' records, or one after a failed read, lists the newest record of each key. A node that lacks records pauses for 0.5 s at most after a failed call.

Ruled out: reading with a longer time limit only; the versions between would still be read, and the store can be slow.

The new tests fail without the change.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -119,11 +119,11 @@
 	}
 }
 
-// read reads the records from request.From on. It lists the newest records instead if that has not succeeded yet or if the store has deleted
-// records at request.From.
+// read reads the records from request.From on. It lists the newest records instead if that was requested or has not succeeded yet, if the store has
+// deleted records at request.From, or if the next record is too large for a page.
 func (f *Follower) read(ctx context.Context, request modeler.Fetch) error {
 	startedAt := time.Now()
-	if !f.listed.Load() {
+	if request.Newest || !f.listed.Load() {
 		return f.list(ctx, startedAt)
 	}
 	readCtx, cancel := context.WithTimeout(ctx, request.Wait+readGrace)
@@ -136,6 +136,9 @@
 	if err != nil {
 		return err
 	}
+	if page.Next == request.From && page.Next < page.End {
+		return f.list(ctx, startedAt)
+	}
 	f.postRecords(page.Records)
 	current := startedAt
 	switch {
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -73,6 +73,11 @@
 			[]result{{page: modeler.Page{Next: 5}}, {page: modeler.Page{Next: 9, Records: []modeler.Record{record("c", 8)}}}},
 			[]int64{5, 9}, []string{"listed 0", "read 5", "c", "listed 1", "read 9"},
 		},
+		{
+			"lists if the next record does not fit a page", []result{{page: modeler.Page{Next: 5, End: 6}}},
+			[]result{{page: modeler.Page{Next: 5}}, {page: modeler.Page{Next: 6, Records: []modeler.Record{record("c", 5)}}}},
+			[]int64{5, 6}, []string{"listed 0", "read 5", "c", "listed 1", "read 6"},
+		},
 		{
 			"unreadable record", nil, []result{{page: modeler.Page{Next: 3, Records: []modeler.Record{record("bad", 1), record("a", 2)}}}},
 			[]int64{3}, []string{"unreadable", "a", "listed 2", "read 3"},
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -200,6 +200,8 @@
 		From  int64
 		// Wait is how long the store may wait for new records before it returns none.
 		Wait time.Duration
+		// Newest requests the newest record of each key instead of all records from From on.
+		Newest bool
 	}
 	// Deliver passes the newest record of each key of a topic, as read by another node, to the follower of the topic. It results in the same
 	// events as a Fetch that lists these records.
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -32,7 +32,8 @@
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// maxOtherBackoff bounds the pause of nodes that are not hubs. They receive the records from the hubs once the store responds again.
+	// maxOtherBackoff bounds the pause of nodes that are not hubs and lack no record. They receive the records from the hubs once the store responds
+	// again.
 	maxOtherBackoff = 2 * time.Second
 	// fetchTimeout is the time after which a read without a result is considered lost.
 	fetchTimeout = 6 * time.Second
@@ -149,7 +150,7 @@
 		s.lag.fail(e.Reason)
 	}
 	limit := maxOtherBackoff
-	if world.IsHub || !state.wasRead || world.Coordinator == "" || world.Coordinates() {
+	if world.IsHub || !state.wasRead || state.target > world.NextOffsets[e.Topic] || world.Coordinator == "" || world.Coordinates() {
 		limit = maxBackoff
 	}
 	state.backoff = min(max(2*state.backoff, minBackoff), limit)
@@ -299,7 +300,14 @@
 		wait = 0
 	}
 	state.startedAt, state.next = tick.Now, tick.Now.Add(interval)
-	tick.Emit(modeler.Fetch{Topic: topic, From: world.NextOffsets[topic], Wait: wait})
+	tick.Emit(modeler.Fetch{Topic: topic, From: world.NextOffsets[topic], Wait: wait, Newest: readsNewest(topic, state, world)})
+}
+
+// readsNewest reports whether the newest record of each key is read instead of all missing ones. Each configuration replaces the one before, so that only
+// the last one is needed, and a listing may take longer than a read.
+func readsNewest(topic modeler.Topic, state *topicState, world *modeler.World) bool {
+	missing := state.target - world.NextOffsets[topic]
+	return topic == modeler.Operators && (missing > 1 || missing == 1 && state.backoff > 0)
 }
 
 // updateReadPositions sets world.ReadPositions, which other nodes receive with each heartbeat.
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -182,3 +182,55 @@
 		})
 	}
 }
+
+// TestReadsNewest guards against a node that reads each of many missing configurations in full, and is late with the last one.
+func TestReadsNewest(t *testing.T) {
+	position := func(end int64) modeler.ReadPosition { return modeler.ReadPosition{End: end, LastChangeEnd: end} }
+	tests := []struct {
+		name      string
+		operators int64
+		endpoints int64
+		fails     bool
+		want      modeler.Fetch
+	}{
+		{"one record is missing", 6, 5, false, modeler.Fetch{Topic: modeler.Operators, From: 5}},
+		{"several are missing", 8, 5, false, modeler.Fetch{Topic: modeler.Operators, From: 5, Newest: true}},
+		{"the last read has failed", 6, 5, true, modeler.Fetch{Topic: modeler.Operators, From: 5, Newest: true}},
+		{"endpoints differ in each record", 5, 8, false, modeler.Fetch{Topic: modeler.Endpoints, From: 5}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", "other")
+			events := []modeler.Event{beat(position(tt.operators), position(tt.endpoints))}
+			if tt.fails {
+				events = append(events, modeler.TopicFailed{Topic: modeler.Operators})
+			}
+			effects := n.run(events...)
+			n.now = n.now.Add(300 * time.Millisecond)
+			var got []modeler.Fetch
+			for _, effect := range append(effects, n.run()...) {
+				if fetch, ok := effect.(modeler.Fetch); ok {
+					got = append(got, fetch)
+				}
+			}
+			assert.DeepEqual(t, got, []modeler.Fetch{tt.want})
+		})
+	}
+}
+
+// TestBackoffWhileBehind guards against a node that pauses for seconds after a failed read although it lacks operators' records.
+func TestBackoffWhileBehind(t *testing.T) {
+	n := newNode("n", "other")
+	n.run(beat(modeler.ReadPosition{End: 9, LastChangeEnd: 9}, modeler.ReadPosition{End: 5, LastChangeEnd: 5}))
+	calls := 0
+	for range 100 {
+		n.now = n.now.Add(50 * time.Millisecond)
+		for _, topic := range fetches(n.run()) {
+			if topic == modeler.Operators {
+				calls++
+			}
+			n.run(modeler.TopicFailed{Topic: topic})
+		}
+	}
+	assert.Assert(t, calls >= 9 && calls <= 14, "%d calls in 5 s", calls)
+}
