Send the operators' records to other nodes in packed pieces of any size

Callers saw 404 for a route that operators had added, and requests that went the way of an old version, on nodes that the store turned away.

Cause: the records went to other nodes in one datagram. A state above 48 KiB was left out without a word, so that a node had no way to it but the store. The class: a state with a size limit and no other way.

Change: a state is compressed, with the records that the receiver holds as a dictionary, and cut into pieces of 8 KB. Heartbeats name what their node holds by a hash. The sender keeps the last eight states, at most 2 MiB; the receiver keeps the pieces of one, at most 4 MiB, and checks the hash. Sends are paced at 1 MiB/s. The test case "too large for a datagram" expected that nothing is sent and now expects the records.

Ruled out: differences of routes and tenants, which need the operators' format in the poller; fetching piece by piece, a round trip each.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -33,6 +33,7 @@
 	"damaskpick.example/damaskpick/internal/fleet/messenger"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/internal/fleet/observer"
+	"damaskpick.example/damaskpick/internal/fleet/packer"
 	"damaskpick.example/damaskpick/internal/fleet/placer"
 	"damaskpick.example/damaskpick/internal/fleet/poller"
 	"damaskpick.example/damaskpick/internal/fleet/runner"
@@ -146,10 +147,14 @@
 	instrumented := n.observer.Store(store)
 	followers := n.followers(instrumented)
 	quarantines := follower.NewQuarantines(instrumented, platform.TopicQuarantines, func(e modeler.Event) { n.loop.Post(e) })
+	states := packer.New(packer.Options{
+		Self: self, Sender: peers, Deliver: func(d modeler.Deliver) { followers[d.Topic].Deliver(d) }, OnUnusable: n.observer.StateUnusable,
+	})
+	n.observer.WatchStates(states.SentBytes)
 	engines := follower.NewEngines(reserver, func(e modeler.Event) { n.loop.Post(e) })
 	n.loop = runner.New(modeler.NewWorld(self), runner.Options{
 		Systems: systems(settings), Now: time.Now,
-		Executor: &executor{peers: peers, observer: n.observer, followers: followers, quarantines: quarantines, engines: engines},
+		Executor: &executor{peers: peers, observer: n.observer, followers: followers, states: states, quarantines: quarantines, engines: engines},
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	idleCloser := &listener.IdleCloser{Snapshot: n.loop.Snapshot}
@@ -171,6 +176,7 @@
 	for _, f := range followers {
 		group.Go(func() error { return f.Run(running) })
 	}
+	group.Go(func() error { return states.Run(running) })
 	group.Go(func() error { return quarantines.Run(running) })
 	group.Go(func() error { return engines.Run(running) })
 	registrar := follower.Registrar{Store: instrumented, Topic: platform.TopicNodes, Self: self, Post: n.loop.Post}
@@ -315,11 +321,12 @@
 	})
 }
 
-// executor executes the effects of a tick: it sends messages, reads topics of the store, keeps quarantines there and writes log lines.
+// executor executes the effects of a tick: it sends messages and states, reads topics of the store, keeps quarantines there and writes log lines.
 type executor struct {
 	peers       *messenger.Messenger
 	observer    *observer.Observer
 	followers   map[modeler.Topic]*follower.Follower
+	states      *packer.Packer
 	quarantines *follower.Quarantines
 	engines     *follower.Engines
 }
@@ -335,6 +342,10 @@
 			e.followers[effect.Topic].Fetch(effect)
 		case modeler.Deliver:
 			e.followers[effect.Topic].Deliver(effect)
+		case modeler.SendState:
+			e.states.Send(effect)
+		case modeler.UnpackState:
+			e.states.Unpack(effect)
 		case modeler.SaveQuarantine:
 			e.quarantines.Save(effect)
 		case modeler.DeleteQuarantine:
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -353,7 +353,7 @@
 
 // beatMessage returns a heartbeat with the requests of this node that are running, and with the suspects for a new coordinator.
 func (s *System) beatMessage(now time.Time, world *modeler.World) modeler.Message {
-	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll}
+	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll, Holds: world.HeldState}
 	if now.Sub(world.CoordinatorSince) < handoverTime {
 		body.Suspects, _ = suspects(now, world)
 		body.Terms = reportedTerms(now, world)
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -36,8 +36,12 @@
 		message.Body = decodeBeat(now, body.Beat)
 	case *Datagram_EndpointNews:
 		message.Body = decodeEndpointNews(body.EndpointNews)
-	case *Datagram_OperatorState:
-		message.Body = decodeOperatorState(body.OperatorState)
+	case *Datagram_StatePiece:
+		p := body.StatePiece
+		message.Body = modeler.StatePiece{
+			State: modeler.StateID(p.GetState()), Base: modeler.StateID(p.GetBase()), Next: p.GetNext(), Age: microseconds(p.GetAge()),
+			Index: int(p.GetIndex()), Count: int(p.GetCount()), Data: p.GetData(),
+		}
 	case *Datagram_TermsReport:
 		message.Body = modeler.TermsReport{Terms: decodeTerms(body.TermsReport.GetTerms())}
 	case *Datagram_Digest:
@@ -103,7 +107,7 @@
 func decodeBeat(now time.Time, b *Beat) modeler.Beat {
 	beat := modeler.Beat{
 		Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), ReadsForAll: b.GetReadsForAll(), Suspects: decodeSuspects(b.GetSuspects()),
-		Terms: decodeTerms(b.GetTerms()),
+		Terms: decodeTerms(b.GetTerms()), Holds: modeler.StateID(b.GetHolds()),
 	}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.ReadPositions) {
@@ -136,14 +140,6 @@
 	return update
 }
 
-func decodeOperatorState(s *OperatorState) modeler.OperatorState {
-	state := modeler.OperatorState{Next: s.GetNext(), Age: microseconds(s.GetAge())}
-	for _, r := range s.GetRecords() {
-		state.Records = append(state.Records, modeler.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
-	}
-	return state
-}
-
 func decodeDigest(d *Digest) modeler.Digest {
 	digest := modeler.Digest{Loads: make(map[modeler.EndpointID]modeler.LoadSummary, len(d.GetLoads()))}
 	for _, n := range d.GetAlive() {
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -31,8 +31,11 @@
 		d.Body = &Datagram_Beat{Beat: encodeBeat(now, body)}
 	case modeler.EndpointChanges:
 		d.Body = &Datagram_EndpointNews{EndpointNews: encodeEndpointNews(body)}
-	case modeler.OperatorState:
-		d.Body = &Datagram_OperatorState{OperatorState: encodeOperatorState(body)}
+	case modeler.StatePiece:
+		d.Body = &Datagram_StatePiece{StatePiece: &StatePiece{
+			State: uint64(body.State), Base: uint64(body.Base), Next: body.Next, Age: body.Age.Microseconds(),
+			Index: uint32(body.Index), Count: uint32(body.Count), Data: body.Data,
+		}}
 	case modeler.TermsReport:
 		d.Body = &Datagram_TermsReport{TermsReport: &TermsReport{Terms: encodeTerms(body.Terms)}}
 	case modeler.Digest:
@@ -87,7 +90,7 @@
 func encodeBeat(now time.Time, body modeler.Beat) *Beat {
 	beat := &Beat{
 		Node: encodeNode(body.Node), Coordinates: body.Coordinates, ReadsForAll: body.ReadsForAll, Suspects: encodeSuspects(body.Suspects),
-		Terms: encodeTerms(body.Terms),
+		Terms: encodeTerms(body.Terms), Holds: uint64(body.Holds),
 	}
 	for _, k := range body.ReadPositions {
 		beat.Known = append(beat.Known, &Known{End: k.End, Material: k.LastChangeEnd, Age: k.Age.Microseconds()})
@@ -113,14 +116,6 @@
 	return update
 }
 
-func encodeOperatorState(body modeler.OperatorState) *OperatorState {
-	state := &OperatorState{Next: body.Next, Age: body.Age.Microseconds()}
-	for _, r := range body.Records {
-		state.Records = append(state.Records, &Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
-	}
-	return state
-}
-
 func encodeDigest(body modeler.Digest) *Digest {
 	digest := &Digest{}
 	for _, r := range body.Alive {
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -64,9 +64,7 @@
 			},
 			{Endpoint: modeler.Endpoint{ID: "f"}, Offset: 5, Removed: true, Unreadable: true},
 		}}},
-		{"operator state", modeler.OperatorState{
-			Next: 9, Age: time.Second, Records: []modeler.Record{{Key: "k", Value: []byte("v"), Offset: 8}},
-		}},
+		{"state piece", modeler.StatePiece{State: 1 << 63, Base: 7, Next: 9, Age: time.Second, Index: 2, Count: 3, Data: []byte("v")}},
 		{"terms", modeler.TermsReport{Terms: []modeler.ReportedTerms{{Endpoint: "e", StartUnixMilli: 7, Limited: true, Limit: 2.5, Age: time.Second}}}},
 		{"digest", modeler.Digest{
 			SuspectsPartial: true,
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -210,6 +210,24 @@
 		Page        Page
 		ConfirmedAt time.Time
 	}
+	// SendState sends the operators' records to another node, packed as the difference from Base if the receiver holds it.
+	SendState struct {
+		To    Node
+		State OperatorState
+		// Base is the zero value if the sender does not know which records the receiver holds.
+		Base OperatorState
+		// ConfirmedAt is when the sender last confirmed that there were no later records.
+		ConfirmedAt time.Time
+	}
+	// UnpackState unpacks the operators' records that another node has sent and passes them to the follower of the topic, as a Deliver does.
+	UnpackState struct {
+		State  StateID
+		Base   OperatorState
+		Next   int64
+		Packed []byte
+		// ConfirmedAt is when the sender last confirmed that there were no later records.
+		ConfirmedAt time.Time
+	}
 	// SaveQuarantine writes a quarantine to the store, where it outlives all nodes. Until is its end.
 	SaveQuarantine struct {
 		Suspect Suspect
@@ -240,6 +258,8 @@
 func (Send) effect()             {}
 func (Fetch) effect()            {}
 func (Deliver) effect()          {}
+func (SendState) effect()        {}
+func (UnpackState) effect()      {}
 func (SaveQuarantine) effect()   {}
 func (DeleteQuarantine) effect() {}
 func (FetchQuarantines) effect() {}
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -63,8 +63,8 @@
 	LogEventOperatorsBehind LogEventName = "OperatorsBehind"
 	// LogEventOperatorsCaughtUp: Next, After, Failures.
 	LogEventOperatorsCaughtUp LogEventName = "OperatorsCaughtUp"
-	// LogEventStateNotSent: Bytes, Limit, Next.
-	LogEventStateNotSent LogEventName = "StateNotSent"
+	// LogEventStateUnusable: error.
+	LogEventStateUnusable LogEventName = "StateUnusable"
 	// LogEventRecordUnreadable: Topic, Key, Offset, error.
 	LogEventRecordUnreadable LogEventName = "RecordUnreadable"
 )
@@ -96,7 +96,7 @@
 	LogEventNodeRegistered, LogEventNodeTimedOut, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
 	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
-	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateNotSent,
+	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateUnusable,
 	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAttemptRepeated, LogEventRequestEnded,
 	LogEventRequestRejected,
 }
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -56,16 +56,22 @@
 		ReadPositions [2]ReadPosition
 		// ReadsForAll is set if the sender reads the store itself and distributes the changes to all nodes.
 		ReadsForAll bool
+		// Holds identifies the operators' records that the sender holds.
+		Holds StateID
 		// Suspects holds the fingerprints that the sender knows, and Terms those of endpoints, while the coordinator is new.
 		Suspects []Suspect
 		Terms    []ReportedTerms
 	}
-	// OperatorState distributes the operators' records: the newest record of each key before Next. Age is the time since the sender last
-	// confirmed that there were no later records.
-	OperatorState struct {
-		Records []Record
-		Next    int64
-		Age     time.Duration
+	// StatePiece is one of Count pieces of a packed OperatorState. Age is the time since the sender last confirmed that there were no later records.
+	StatePiece struct {
+		State StateID
+		// Base identifies the records that the receiver must hold to unpack the state. It is zero if the state is packed as a whole.
+		Base  StateID
+		Next  int64
+		Age   time.Duration
+		Index int
+		Count int
+		Data  []byte
 	}
 	// EndpointChanges distributes all changes of endpoints between the offsets From (inclusive) and Next (exclusive).
 	EndpointChanges struct {
@@ -108,7 +114,7 @@
 func (Ended) messageBody()           {}
 func (Beat) messageBody()            {}
 func (EndpointChanges) messageBody() {}
-func (OperatorState) messageBody()   {}
+func (StatePiece) messageBody()      {}
 func (Digest) messageBody()          {}
 func (TermsReport) messageBody()     {}
 
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -71,6 +71,8 @@
 	ConfirmedAt [2]time.Time
 	// ReadPositions holds this node's read positions in Operators and Endpoints, as sent to other nodes.
 	ReadPositions [2]ReadPosition
+	// HeldState identifies the operators' records that this node holds, as sent to other nodes.
+	HeldState StateID
 	// IsHub is set if this node is one of the hubs, see package elector.
 	IsHub bool
 	// tickedAt is when the current tick began. resumedAt is when the first tick after the last pause of this process began, and pausedAt when the
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -176,6 +176,17 @@
 	o.options.Events.Warn().Str("Topic", topic.String()).Str("Key", record.Key).Int64("Offset", record.Offset).Err(err).Msg(string(modeler.LogEventRecordUnreadable))
 }
 
+// StateUnusable counts a state of the operators' records that could not be packed for other nodes or restored, and writes a log line for it.
+func (o *Observer) StateUnusable(err error) {
+	o.set.GetOrCreateCounter("damaskpick_unusable_states_total").Inc()
+	o.options.Events.Warn().Err(err).Msg(string(modeler.LogEventStateUnusable))
+}
+
+// WatchStates adds a metric for the bytes of packed states that were sent to other nodes.
+func (o *Observer) WatchStates(sentBytes func() int64) {
+	o.set.NewGauge("damaskpick_state_sent_bytes_total", func() float64 { return float64(sentBytes()) })
+}
+
 // Lifecycle writes a log line for an event of the process, such as its start or stop.
 func (o *Observer) Lifecycle(name modeler.LogEventName, fields ...modeler.LogField) {
 	line := o.options.Events.Info()
--- a/internal/fleet/poller/operators_test.go
+++ b/internal/fleet/poller/operators_test.go
@@ -9,18 +9,15 @@
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
 
-// states returns the operators' states that were sent, and their receivers.
-func states(effects []modeler.Effect) (sent []modeler.OperatorState, to []modeler.NodeID) {
+// sentStates returns the effects that send the operators' records to other nodes.
+func sentStates(effects []modeler.Effect) []modeler.SendState {
+	var sent []modeler.SendState
 	for _, effect := range effects {
-		send, ok := effect.(modeler.Send)
-		if !ok {
-			continue
-		}
-		if state, ok := send.Message.Body.(modeler.OperatorState); ok {
-			sent, to = append(sent, state), append(to, send.To.ID)
+		if send, ok := effect.(modeler.SendState); ok {
+			sent = append(sent, send)
 		}
 	}
-	return sent, to
+	return sent
 }
 
 func configuration(offset int64, size int) modeler.Record {
@@ -41,7 +38,7 @@
 		{
 			"newest of each key",
 			[]modeler.TopicRead{{Next: 7, Records: []modeler.Record{newer, {Key: "zone", Value: []byte("v"), Offset: 6}}}, {Next: 8, Records: []modeler.Record{configuration(7, 20)}}},
-			6, []modeler.Record{{Key: "zone", Value: []byte("v"), Offset: 6}, configuration(7, 20)},
+			6, []modeler.Record{configuration(7, 20), {Key: "zone", Value: []byte("v"), Offset: 6}},
 		},
 		{
 			"deleted key", []modeler.TopicRead{{Next: 7, Records: []modeler.Record{newer, {Key: "zone", Value: []byte("v"), Offset: 6}}}, {Next: 8, Records: []modeler.Record{{Key: "zone", Offset: 7}}}},
@@ -51,7 +48,7 @@
 			"listed again", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{newer}}, {Next: 9, Records: []modeler.Record{configuration(8, 20)}, Listed: true}},
 			6, []modeler.Record{configuration(8, 20)},
 		},
-		{"too large for a datagram", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{configuration(5, 60<<10)}}}, 5, nil},
+		{"larger than a datagram", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{configuration(5, 300<<10)}}}, 5, []modeler.Record{configuration(5, 300<<10)}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -60,44 +57,103 @@
 				read.Topic, read.ConfirmedAt = modeler.Operators, start
 				n.run(read)
 			}
+			n.now = n.now.Add(400 * time.Millisecond)
 			known := modeler.ReadPosition{End: tt.known, LastChangeEnd: tt.known}
-			sent, to := states(n.run(beat(known, modeler.ReadPosition{End: 5, LastChangeEnd: 5})))
+			sent := sentStates(n.run(beat(known, modeler.ReadPosition{End: 5, LastChangeEnd: 5})))
 			if tt.wanted == nil {
 				assert.Equal(t, len(sent), 0)
 				return
 			}
-			assert.DeepEqual(t, to, []modeler.NodeID{"other"})
-			assert.DeepEqual(t, sent[0].Records, tt.wanted)
-			assert.Equal(t, sent[0].Next, tt.reads[len(tt.reads)-1].Next)
+			assert.Equal(t, len(sent), 1)
+			assert.Equal(t, sent[0].To.ID, modeler.NodeID("other"))
+			assert.DeepEqual(t, sent[0].State.Records, tt.wanted)
+			assert.Equal(t, sent[0].State.Next, tt.reads[len(tt.reads)-1].Next)
 		})
 	}
 }
 
-// TestDeliver guards against a received state that replaces newer records that this node has read itself.
-func TestDeliver(t *testing.T) {
+// holds returns a heartbeat of the node "other" that says which records it holds.
+func holds(next int64, state modeler.StateID) modeler.Event {
+	position := modeler.ReadPosition{End: next, LastChangeEnd: next}
+	return modeler.PeerReceived{Message: modeler.Message{From: "other", Body: modeler.Beat{
+		Holds: state, ReadPositions: [2]modeler.ReadPosition{position, {End: 5, LastChangeEnd: 5}},
+	}}}
+}
+
+// TestStateBase guards against a whole configuration being sent to nodes that hold one of the last ones, and against differences that the receiver cannot
+// use.
+func TestStateBase(t *testing.T) {
+	state := func(offset int64) modeler.OperatorState {
+		return modeler.NewOperatorState([]modeler.Record{configuration(offset, 10)}, offset+1)
+	}
 	tests := []struct {
 		name string
-		next int64
-		want int
+		// held is the state that the heartbeat names.
+		held modeler.OperatorState
+		want modeler.StateID
 	}{
-		{"newer", 6, 1}, {"the same", 5, 0}, {"older", 4, 0},
+		{"the state before", state(7), state(7).ID}, {"an earlier state", state(6), state(6).ID}, {"no state", modeler.OperatorState{Next: 5}, 0},
+		{"an unknown state", modeler.NewOperatorState([]modeler.Record{configuration(6, 11)}, 7), 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			n := newNode("n", "other")
-			state := modeler.OperatorState{Records: []modeler.Record{configuration(tt.next-1, 10)}, Next: tt.next, Age: 100 * time.Millisecond}
-			delivered := 0
-			for _, effect := range n.run(modeler.PeerReceived{Message: modeler.Message{From: "other", Body: state}}) {
-				if deliver, ok := effect.(modeler.Deliver); ok {
-					delivered++
-					assert.Equal(t, deliver.ConfirmedAt, start.Add(-100*time.Millisecond))
-				}
+			n := newNode("n", "n")
+			for offset := int64(5); offset <= 8; offset++ {
+				n.run(modeler.TopicRead{Topic: modeler.Operators, Next: offset + 1, ConfirmedAt: start, Records: []modeler.Record{configuration(offset, 10)}})
 			}
-			assert.Equal(t, delivered, tt.want)
+			n.now = n.now.Add(400 * time.Millisecond)
+			sent := sentStates(n.run(holds(tt.held.Next, tt.held.ID)))
+			assert.Equal(t, len(sent), 1)
+			assert.Equal(t, sent[0].Base.ID, tt.want)
+			assert.DeepEqual(t, sent[0].State, state(8))
 		})
 	}
 }
 
+// TestStateRepeated guards against a state that is never sent again although its pieces were lost, and against one that is sent with each heartbeat that
+// crosses it.
+func TestStateRepeated(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  int
+	}{
+		{"the heartbeat may have crossed the state", 250 * time.Millisecond, 0}, {"the state was lost", 300 * time.Millisecond, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", "n")
+			read := modeler.TopicRead{Topic: modeler.Operators, Next: 6, ConfirmedAt: start, Records: []modeler.Record{configuration(5, 10)}}
+			assert.Equal(t, len(sentStates(n.run(read))), 1, "all nodes are sent the change at once")
+			n.now = n.now.Add(tt.after)
+			assert.Equal(t, len(sentStates(n.run(holds(5, 0)))), tt.want)
+		})
+	}
+}
+
+// TestHeldStates guards against a node whose memory grows with the number of configurations.
+func TestHeldStates(t *testing.T) {
+	n := newNode("n", "n")
+	const size = 600 << 10
+	var states []modeler.StateID
+	for offset := int64(5); offset < 25; offset++ {
+		records := []modeler.Record{configuration(offset, size)}
+		n.run(modeler.TopicRead{Topic: modeler.Operators, Next: offset + 1, ConfirmedAt: start, Records: records})
+		states = append(states, modeler.NewOperatorState(records, offset+1).ID)
+	}
+	n.now = n.now.Add(400 * time.Millisecond)
+	usable := 0
+	for i, id := range states[:len(states)-1] {
+		sent := sentStates(n.run(holds(int64(i)+6, id)))
+		assert.Equal(t, len(sent), 1)
+		if sent[0].Base.ID == id {
+			usable++
+		}
+		n.now = n.now.Add(400 * time.Millisecond)
+	}
+	assert.Equal(t, usable, 3, "2 MiB hold three of them")
+}
+
 // TestReadsForAll guards against all nodes reading the store because it rejects the coordinator's calls, and against two nodes that both keep
 // reading it for all nodes.
 func TestReadsForAll(t *testing.T) {
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -68,7 +68,9 @@
 	lastChangeEnd int64
 
 	operators operatorRecords
-	lag       lag
+	// incoming holds the pieces of the state that this node receives.
+	incoming assembly
+	lag      lag
 	// ownReadAt is when this node itself last read the operators' records. readerSeenAt is when this node last received a heartbeat of the
 	// coordinator or a node of lower rank that reads for all nodes.
 	ownReadAt, readerSeenAt time.Time
@@ -107,6 +109,7 @@
 	}
 	s.lag.report(tick, world.NextOffsets[modeler.Operators], s.states[modeler.Operators].target)
 	s.updateReadPositions(tick.Now, world)
+	world.HeldState = s.operators.state.ID
 }
 
 // handleRead updates the topic's state after a read by this node or another one.
@@ -120,7 +123,7 @@
 		state.startedAt, state.backoff = time.Time{}, 0
 	}
 	if e.Topic == modeler.Operators {
-		s.operators.update(e)
+		s.operators.update(e, world.IsHub || sends(world))
 		if !e.FromPeer && e.ConfirmedAt.After(s.ownReadAt) {
 			s.ownReadAt = e.ConfirmedAt
 		}
@@ -186,21 +189,12 @@
 		s.broadcast(tick, world, modeler.EndpointChanges{From: s.sentEnd, Next: end, Changes: s.changes})
 	}
 	s.changes, s.sentEnd = nil, end
-	if state, size, ok := s.operators.changedState(); ok {
-		state.Age = tick.Now.Sub(world.ConfirmedAt[modeler.Operators])
-		if size <= maxStateBytes {
-			s.broadcast(tick, world, state)
-		} else if world.ReadsForAll || world.Coordinates() {
-			tick.Emit(modeler.LogEvent{Name: modeler.LogEventStateNotSent, Fields: []modeler.LogField{
-				{Key: "Bytes", Value: size}, {Key: "Limit", Value: maxStateBytes}, {Key: "Next", Value: state.Next},
-			}})
-		}
-	}
+	s.sendChange(tick, world)
 }
 
 // broadcast sends a message to all live nodes if this node reads for all nodes or coordinates.
 func (s *System) broadcast(tick *modeler.Tick, world *modeler.World, body modeler.MessageBody) {
-	if !world.ReadsForAll && !world.Coordinates() {
+	if !sends(world) {
 		return
 	}
 	message := world.Message(body)
@@ -219,12 +213,8 @@
 			world.NextOffsets[modeler.Endpoints] = max(world.NextOffsets[modeler.Endpoints], body.Next)
 		}
 		s.lastChangeEnd = max(s.lastChangeEnd, body.Next)
-	case modeler.OperatorState:
-		if body.Next > world.NextOffsets[modeler.Operators] {
-			tick.Emit(modeler.Deliver{
-				Topic: modeler.Operators, Page: modeler.Page{Records: body.Records, Next: body.Next}, ConfirmedAt: tick.Now.Add(-body.Age),
-			})
-		}
+	case modeler.StatePiece:
+		s.handlePiece(tick, world, body)
 	case modeler.Beat:
 		s.handleBeat(tick, world, message.From, body)
 		for i, topic := range topics {
@@ -246,19 +236,12 @@
 	}
 }
 
-// handleBeat records that another node reads for all nodes, and sends the operators' records to the sender if it lacks some.
+// handleBeat records that another node reads for all nodes, and which of the operators' records the sender holds.
 func (s *System) handleBeat(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, beat modeler.Beat) {
 	if beat.ReadsForAll && (from == world.Coordinator || beat.Node.Precedes(world.Self)) {
 		s.readerSeenAt = tick.Now
 	}
-	peer, ok := world.Nodes.Get(from)
-	if !ok || !world.ReadsForAll && !world.Coordinates() || beat.ReadPositions[modeler.Operators].End >= s.operators.next {
-		return
-	}
-	if state, size := s.operators.state(); size <= maxStateBytes {
-		state.Age = tick.Now.Sub(world.ConfirmedAt[modeler.Operators])
-		tick.Emit(modeler.Send{To: peer, Message: world.Message(state)})
-	}
+	s.answerHeartbeat(tick, world, from, beat)
 }
 
 // ageLimit returns the age of this node's state at which it reads the store itself.
