Spread the running requests of a node over several heartbeats

Operators would see a node that serves several hundred requests count as dead, and its requests placed as if they did not run.

Cause: a heartbeat lists all running requests of its node.

Change: a heartbeat has about 100 of them. More are divided by their IDs into parts, one heartbeat each, and the receiver drops only assignments of the part that the heartbeat names.

Evidence: found by reading; TestLargeHeartbeats fails before with 400 and 3,000 requests. Digests were checked: each of their lists has a bound.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -37,6 +37,9 @@
 	// handoverTime is how long nodes tell a new coordinator the fingerprints that the one before listed: several heartbeats. It may have just
 	// started and know none.
 	handoverTime = 2 * time.Second
+	// maxRunning is the mean number of running requests in a heartbeat. Those of a node that serves more are spread over several heartbeats: one with
+	// 400 requests exceeds the largest datagram and would never be sent.
+	maxRunning = 100
 	// silentNodeTimeout is the time without messages from a node after which only hellos are sent to it. A node that comes back sends hellos
 	// itself.
 	silentNodeTimeout = 20 * time.Second
@@ -269,7 +272,7 @@
 	}
 	s.logTimeouts(tick, world)
 	hello := !tick.Now.Before(s.nextHello)
-	message := s.beatMessage(tick.Now, world)
+	messages := s.beatMessages(tick.Now, world)
 	var digest *modeler.Digest
 	if world.Coordinates() {
 		revision := world.BrokenAttempts.Revision()
@@ -289,7 +292,9 @@
 			continue
 		}
 		if world.Coordinates() || world.ReadsForAll || id == world.Coordinator || id == placing || hello && (isHub || hubs[id]) {
-			tick.Emit(modeler.Send{To: node, Message: message})
+			for _, message := range messages {
+				tick.Emit(modeler.Send{To: node, Message: message})
+			}
 			if digest != nil {
 				tick.Emit(modeler.Send{To: node, Message: world.Message(*digest)})
 			}
@@ -351,8 +356,9 @@
 	return b
 }
 
-// beatMessage returns a heartbeat with the requests of this node that are running, and with the suspects for a new coordinator.
-func (s *System) beatMessage(now time.Time, world *modeler.World) modeler.Message {
+// beatMessages returns a heartbeat with the requests of this node that are running, and with the suspects for a new coordinator. If many requests are running,
+// it returns several heartbeats, each with a part of them.
+func (s *System) beatMessages(now time.Time, world *modeler.World) []modeler.Message {
 	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll, Holds: world.HeldState}
 	if now.Sub(world.CoordinatorSince) < handoverTime {
 		body.Suspects, _ = suspects(now, world)
@@ -360,14 +366,33 @@
 	} else if !world.Coordinates() {
 		body.Suspects = reportedSuspects(now, world)
 	}
-	for _, id := range world.ByNode.Keys(world.Self.ID) {
-		if a, ok := world.Assignments.Get(id); ok {
+	own := world.ByNode.Keys(world.Self.ID)
+	count := 1 + len(own)/maxRunning
+	if count == 1 {
+		body.Running = runningIn(world, own, modeler.RequestPart{})
+		return []modeler.Message{world.Message(body)}
+	}
+	messages := make([]modeler.Message, 0, count)
+	for i := range count {
+		body.Part = modeler.RequestPart{Index: i, Count: count}
+		body.Running = runningIn(world, own, body.Part)
+		messages = append(messages, world.Message(body))
+		body.Suspects, body.Terms = nil, nil
+	}
+	return messages
+}
+
+// runningIn returns the assignments of the requests that are in the part.
+func runningIn(world *modeler.World, ids []modeler.RequestID, part modeler.RequestPart) []modeler.Assignment {
+	var running []modeler.Assignment
+	for _, id := range ids {
+		if a, ok := world.Assignments.Get(id); ok && part.Contains(id) {
 			// Shared parts are left out, because they would make each heartbeat longer.
 			a.Request = a.Request.WithSharedParts(nil)
-			body.Running = append(body.Running, a)
+			running = append(running, a)
 		}
 	}
-	return world.Message(body)
+	return running
 }
 
 // Alive returns the nodes that callers may use, ordered by id: this node and the nodes for which Live reports true or that are assumed to be alive,
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -107,7 +107,7 @@
 func decodeBeat(now time.Time, b *Beat) modeler.Beat {
 	beat := modeler.Beat{
 		Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), ReadsForAll: b.GetReadsForAll(), Suspects: decodeSuspects(b.GetSuspects()),
-		Terms: decodeTerms(b.GetTerms()), Holds: modeler.StateID(b.GetHolds()),
+		Terms: decodeTerms(b.GetTerms()), Holds: modeler.StateID(b.GetHolds()), Part: modeler.RequestPart{Index: int(b.GetPart()), Count: int(b.GetParts())},
 	}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.ReadPositions) {
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -90,7 +90,7 @@
 func encodeBeat(now time.Time, body modeler.Beat) *Beat {
 	beat := &Beat{
 		Node: encodeNode(body.Node), Coordinates: body.Coordinates, ReadsForAll: body.ReadsForAll, Suspects: encodeSuspects(body.Suspects),
-		Terms: encodeTerms(body.Terms), Holds: uint64(body.Holds),
+		Terms: encodeTerms(body.Terms), Holds: uint64(body.Holds), Part: uint32(body.Part.Index), Parts: uint32(body.Part.Count),
 	}
 	for _, k := range body.ReadPositions {
 		beat.Known = append(beat.Known, &Known{End: k.End, Material: k.LastChangeEnd, Age: k.Age.Microseconds()})
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"damaskpick.example/damaskpick/internal/fleet/elector"
 	"damaskpick.example/damaskpick/internal/fleet/estimator"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 )
@@ -55,7 +57,7 @@
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithFirstEvent(now)}, ReadPositions: [2]modeler.ReadPosition{{End: 4, LastChangeEnd: 3, Age: time.Second}, {End: 9}},
 			ReadsForAll: true, Suspects: []modeler.Suspect{{Fingerprint: 3, Count: 2, SharedPart: true, Requests: []modeler.Fingerprint{1, 2}}},
-			Terms: []modeler.ReportedTerms{{Endpoint: "e", Leaving: true}},
+			Terms: []modeler.ReportedTerms{{Endpoint: "e", Leaving: true}}, Holds: 1 << 63, Part: modeler.RequestPart{Index: 1, Count: 3},
 		}},
 		{"endpoint changes", modeler.EndpointChanges{From: 3, Next: 9, Changes: []modeler.EndpointChange{
 			{
@@ -90,6 +92,49 @@
 	}
 }
 
+// TestLargeHeartbeats guards against a node that counts as dead because it serves so many requests that its heartbeat exceeds a datagram.
+func TestLargeHeartbeats(t *testing.T) {
+	tests := []struct{ running, messages int }{{0, 1}, {99, 1}, {400, 5}, {3000, 31}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.running), func(t *testing.T) {
+			world := modeler.NewWorld(node())
+			world.Nodes.Put("other", modeler.Node{ID: "other"}.WithLastSeen(now))
+			world.Coordinator = "other"
+			for i := range tt.running {
+				r := request()
+				r.ID = modeler.RequestID(fmt.Sprintf("3f7a01c95d2e4b%02x/%d/%d", i%256, i, i))
+				world.Assign(modeler.Assignment{Request: r, Placed: now, Plan: modeler.Plan{
+					Endpoint: modeler.Endpoint{ID: "i-3f7a01c95d"}, Helpers: []modeler.Endpoint{{ID: "i-3f7a01c95e"}, {ID: "i-3f7a01c95f"}},
+				}})
+			}
+			tick := &modeler.Tick{Now: now}
+			elector.New(nil).Run(tick, world)
+			seen := map[modeler.RequestID]int{}
+			messages := 0
+			for _, effect := range tick.Effects() {
+				send, ok := effect.(modeler.Send)
+				if !ok {
+					continue
+				}
+				body, ok := send.Message.Body.(modeler.Beat)
+				if !ok {
+					continue
+				}
+				messages++
+				data, err := proto.Marshal(encode(now, send.Message))
+				assert.NilError(t, err)
+				assert.Assert(t, len(data) <= maxDatagram, "%d bytes", len(data))
+				for _, a := range body.Running {
+					assert.Assert(t, body.Part.Contains(a.Request.ID))
+					seen[a.Request.ID]++
+				}
+			}
+			assert.Equal(t, messages, tt.messages)
+			assert.Equal(t, len(seen), tt.running)
+		})
+	}
+}
+
 // FuzzDecode guards against a datagram that makes a node panic.
 func FuzzDecode(f *testing.F) {
 	data, err := proto.Marshal(encode(now, modeler.Message{From: "n", Body: modeler.Ask{Request: request()}}))
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -52,6 +52,8 @@
 		// Coordinates is set if the sender coordinates placement for all nodes.
 		Coordinates bool
 		Running     []Assignment
+		// Part is that of the requests which Running holds: all running ones of the sender in it. The zero value stands for all requests.
+		Part RequestPart
 		// ReadPositions holds the sender's read positions in the topics Operators and Endpoints.
 		ReadPositions [2]ReadPosition
 		// ReadsForAll is set if the sender reads the store itself and distributes the changes to all nodes.
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -289,7 +289,7 @@
 		}
 	}
 	for _, id := range slices.Clone(world.ByNode.Keys(from)) {
-		if a, _ := world.Assignments.Get(id); !reported[id] && tick.Now.Sub(a.Placed) > beatGrace {
+		if a, _ := world.Assignments.Get(id); !reported[id] && beat.Part.Contains(id) && tick.Now.Sub(a.Placed) > beatGrace {
 			world.Unassign(id)
 		}
 	}
--- a/internal/fleet/placer/placer_test.go
+++ b/internal/fleet/placer/placer_test.go
@@ -172,17 +172,23 @@
 // know the requests running on other nodes.
 func TestBeats(t *testing.T) {
 	running := modeler.Assignment{Request: request("r", "b"), Plan: modeler.Plan{Endpoint: modeler.Endpoint{ID: "e0"}}, Placed: start}
+	part := 0
+	if !(modeler.RequestPart{Count: 2}).Contains("r") {
+		part = 1
+	}
 	tests := []struct {
 		name  string
 		known bool
 		age   time.Duration
-		beat  []modeler.Assignment
+		beat  modeler.Beat
 		want  bool
 	}{
-		{"unknown to the coordinator", false, 0, []modeler.Assignment{running}, true},
-		{"still running", true, time.Second, []modeler.Assignment{running}, true},
-		{"ended", true, time.Second, nil, false},
-		{"placed just now", true, beatGrace / 2, nil, true},
+		{"unknown to the coordinator", false, 0, modeler.Beat{Running: []modeler.Assignment{running}}, true},
+		{"still running", true, time.Second, modeler.Beat{Running: []modeler.Assignment{running}}, true},
+		{"ended", true, time.Second, modeler.Beat{}, false},
+		{"placed just now", true, beatGrace / 2, modeler.Beat{}, true},
+		{"not in this part", true, time.Second, modeler.Beat{Part: modeler.RequestPart{Index: 1 - part, Count: 2}}, true},
+		{"ended, in this part", true, time.Second, modeler.Beat{Part: modeler.RequestPart{Index: part, Count: 2}}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -191,7 +197,7 @@
 				n.world.Assign(running)
 			}
 			n.now = start.Add(tt.age)
-			n.run(peer("b", modeler.Beat{Running: tt.beat}))
+			n.run(peer("b", tt.beat))
 			_, ok := n.world.Assignments.Get("r")
 			assert.Equal(t, ok, tt.want)
 		})
