Split changes of endpoints that do not fit one datagram

Operators would see all nodes read the store at once after several hundred endpoints changed, and placements on endpoints that are gone until then.

Change: at most 200 changes a message, in the order of their offsets. Each message covers the records from the end of the one before, so that a receiver that misses one does not take its state for complete.

Evidence: found by reading; TestManyEndpointChanges fails before with 1,000 changes in 86,889 bytes.

--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -9,9 +9,11 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"damaskpick.example/damaskpick/internal/fleet/applier"
 	"damaskpick.example/damaskpick/internal/fleet/elector"
 	"damaskpick.example/damaskpick/internal/fleet/estimator"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/fleet/poller"
 )
 
 var now = time.Unix(1000, 0)
@@ -135,6 +137,68 @@
 	}
 }
 
+// TestManyEndpointChanges guards against changes of endpoints that are never sent because together they exceed a datagram, and against a node that takes
+// its endpoints for current although one of the messages was lost.
+func TestManyEndpointChanges(t *testing.T) {
+	tests := []struct{ changes, messages int }{{1, 1}, {200, 1}, {1000, 5}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.changes), func(t *testing.T) {
+			send, receive := newEndpointNode("n", "n"), newEndpointNode("other", "n")
+			var events []modeler.Event
+			for i := range tt.changes {
+				events = append(events, modeler.EndpointChanged{Offset: int64(5 + i), Endpoint: modeler.Endpoint{
+					ID: modeler.EndpointID(fmt.Sprintf("i-3f7a01c9%04x", i)), Service: "service-of-engines", Address: "10.200.100.100:12345",
+					DataCentre: "data-centre-a", Slots: 16, StartUnixMilli: 1 << 41,
+				}})
+			}
+			end := int64(5 + tt.changes)
+			effects := send.run(append(events, modeler.TopicRead{Topic: modeler.Endpoints, Next: end, End: end, ConfirmedAt: now})...)
+			var messages []modeler.Message
+			for _, effect := range effects {
+				if s, ok := effect.(modeler.Send); ok {
+					data, err := proto.Marshal(encode(now, s.Message))
+					assert.NilError(t, err)
+					assert.Assert(t, len(data) <= maxDatagram, "%d bytes", len(data))
+					messages = append(messages, s.Message)
+				}
+			}
+			assert.Equal(t, len(messages), tt.messages)
+			for _, message := range messages[1:] {
+				receive.run(modeler.PeerReceived{Message: message})
+			}
+			assert.Equal(t, receive.world.NextOffsets[modeler.Endpoints], int64(5), "the first message was lost")
+			for _, message := range messages {
+				receive.run(modeler.PeerReceived{Message: message})
+			}
+			assert.Equal(t, receive.world.NextOffsets[modeler.Endpoints], end)
+			assert.Equal(t, receive.world.Endpoints.Len(), tt.changes)
+		})
+	}
+}
+
+// endpointNode applies and sends changes of endpoints.
+type endpointNode struct {
+	world   *modeler.World
+	systems []modeler.System
+}
+
+// newEndpointNode returns a node that has read the endpoints up to offset 5.
+func newEndpointNode(id, coordinator modeler.NodeID) *endpointNode {
+	n := &endpointNode{world: modeler.NewWorld(modeler.Node{ID: id}), systems: []modeler.System{applier.New(), poller.New()}}
+	n.world.Coordinator = coordinator
+	n.world.Nodes.Put("peer", modeler.Node{ID: "peer"}.WithLastSeen(now))
+	n.run(modeler.TopicRead{Topic: modeler.Endpoints, Next: 5, End: 5, ConfirmedAt: now})
+	return n
+}
+
+func (n *endpointNode) run(events ...modeler.Event) []modeler.Effect {
+	tick := &modeler.Tick{Now: now, Events: events}
+	for _, system := range n.systems {
+		system.Run(tick, n.world)
+	}
+	return tick.Effects()
+}
+
 // FuzzDecode guards against a datagram that makes a node panic.
 func FuzzDecode(f *testing.F) {
 	data, err := proto.Marshal(encode(now, modeler.Message{From: "n", Body: modeler.Ask{Request: request()}}))
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -4,6 +4,8 @@
 package poller
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/elector"
@@ -27,6 +29,8 @@
 	deliveryGrace = 300 * time.Millisecond
 	// endpointInterval is the minimum time between two reads of the endpoints' entries, which engines write often.
 	endpointInterval = 300 * time.Millisecond
+	// maxChanges is the maximum number of changes of endpoints in one message. 600 of them exceed the largest datagram and would never be sent.
+	maxChanges = 200
 	// operatorInterval is the minimum time between two reads of the operators' records.
 	operatorInterval = 50 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read.
@@ -185,13 +189,31 @@
 // sendChanges sends the collected changes and the changed operators' records to all nodes.
 func (s *System) sendChanges(tick *modeler.Tick, world *modeler.World) {
 	end := world.NextOffsets[modeler.Endpoints]
-	if len(s.changes) > 0 && s.sentEnd > 0 {
-		s.broadcast(tick, world, modeler.EndpointChanges{From: s.sentEnd, Next: end, Changes: s.changes})
+	if s.sentEnd > 0 {
+		for _, body := range splitChanges(s.sentEnd, end, s.changes) {
+			s.broadcast(tick, world, body)
+		}
 	}
 	s.changes, s.sentEnd = nil, end
 	s.sendChange(tick, world)
 }
 
+// splitChanges returns messages with at most maxChanges changes each, which together cover all records from the offset from up to next. A receiver that
+// misses one of them does not take the later ones for complete, and reads the store.
+func splitChanges(from, next int64, changes []modeler.EndpointChange) []modeler.EndpointChanges {
+	slices.SortStableFunc(changes, func(a, b modeler.EndpointChange) int { return cmp.Compare(a.Offset, b.Offset) })
+	var messages []modeler.EndpointChanges
+	for len(changes) > 0 {
+		count := min(len(changes), maxChanges)
+		body := modeler.EndpointChanges{From: from, Next: next, Changes: changes[:count:count]}
+		if changes = changes[count:]; len(changes) > 0 {
+			body.Next = max(from, changes[0].Offset)
+		}
+		messages, from = append(messages, body), body.Next
+	}
+	return messages
+}
+
 // broadcast sends a message to all live nodes if this node reads for all nodes or coordinates.
 func (s *System) broadcast(tick *modeler.Tick, world *modeler.World, body modeler.MessageBody) {
 	if !sends(world) {
