Refuse what an old configuration does not allow, instead of answering 404

Callers saw 404 or 401, which they do not repeat, for a route or credential that existed, from nodes that knew from heartbeats that their configuration was old.

Cause: a node matched requests against the configuration that it had, whatever it knew of later ones.

Change: while a node lacks operators' records that another node has read, it answers 503 with a Retry-After of 0.3 to 1.3 s instead of 401 and 404. The request has not run, and the caller tries another node.

Evidence: TestCallers and TestOperatorsBehind; the new cases fail before.

--- a/internal/fleet/listener/callers.go
+++ b/internal/fleet/listener/callers.go
@@ -38,7 +38,8 @@
 	// store or another node can be reached has used up its retry.
 	startRetryAfter  = 2 * time.Second
 	startRetrySpread = time.Second
-	// shortRetryAfter and shortRetrySpread are the same for requests for whose bodies there was no memory. What holds it gives way within a second.
+	// shortRetryAfter and shortRetrySpread are the same for requests for whose bodies there was no memory, or that a node with an old configuration cannot
+	// judge. What holds the memory gives way within a second, and the records arrive within one.
 	shortRetryAfter  = 300 * time.Millisecond
 	shortRetrySpread = time.Second
 )
@@ -107,7 +108,7 @@
 		// The body is read only if the request will be forwarded.
 		var code int
 		if to, code = match(configuration, fields, r); code != http.StatusOK {
-			c.reject(w, snapshot, fields, code)
+			c.rejectUnmatched(w, snapshot, fields, code)
 			return
 		}
 	}
@@ -124,7 +125,7 @@
 		}
 		var code int
 		if to, code = match(snapshot.Configuration, fields, r); code != http.StatusOK {
-			c.reject(w, snapshot, fields, code)
+			c.rejectUnmatched(w, snapshot, fields, code)
 			return
 		}
 	}
@@ -151,6 +152,17 @@
 	c.Observer.Rejected(fields.ID, code, snapshot.Configuration.Version, snapshot.OperatorsAge)
 }
 
+// rejectUnmatched answers a request that the configuration does not allow. A node that lacks operators' records cannot know this: a later version may have
+// the route or the credential. It refuses the request, so that the caller tries another node.
+func (c *CallerHandler) rejectUnmatched(w http.ResponseWriter, snapshot *modeler.Snapshot, fields modeler.RequestFields, code int) {
+	if !snapshot.OperatorsBehind {
+		c.reject(w, snapshot, fields, code)
+		return
+	}
+	refuse(w, http.StatusServiceUnavailable, shortRetryAfter+rand.N(shortRetrySpread))
+	c.Observer.Rejected(fields.ID, http.StatusServiceUnavailable, snapshot.Configuration.Version, snapshot.OperatorsAge)
+}
+
 // headerSize returns the size in bytes of the header as it was sent, without optional white space.
 func headerSize(r *http.Request) int {
 	const lineOverhead = len(": \r\n")
--- a/internal/fleet/listener/listener_test.go
+++ b/internal/fleet/listener/listener_test.go
@@ -67,7 +67,7 @@
 		name, host, path, key string
 		configuration         modeler.Configuration
 		body                  io.Reader
-		leaving               bool
+		leaving, behind       bool
 		code                  int
 		retryAfter, closed    string
 		// retrySpread is the range in seconds above retryAfter in which the header must be.
@@ -78,6 +78,14 @@
 		{name: "unknown host", host: "other.example", path: "/stock/1", configuration: loaded, code: 404},
 		{name: "no credential", host: platformtest.Host, path: "/stock/1", configuration: loaded, code: 401},
 		{name: "wrong credential", host: platformtest.Host, path: "/stock/1", key: "x", configuration: loaded, code: 401},
+		{
+			name: "no route, but the configuration is old", host: platformtest.Host, path: "/other/1", configuration: loaded, behind: true, code: 503,
+			retryAfter: "0.300", retrySpread: 1,
+		},
+		{
+			name: "wrong credential, but the configuration is old", host: platformtest.Host, path: "/stock/1", key: "x", configuration: loaded, behind: true,
+			code: 503, retryAfter: "0.300", retrySpread: 1,
+		},
 		{name: "anonymous route", host: platformtest.Host, path: "/open/1", configuration: loaded, code: 503, retryAfter: "1.500"},
 		{
 			name: "refused", host: platformtest.Host, path: "/stock/1", key: platformtest.Credential, configuration: loaded, code: 503,
@@ -102,7 +110,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			snapshot := &modeler.Snapshot{Configuration: tt.configuration, Self: modeler.Node{Leaving: tt.leaving}}
+			snapshot := &modeler.Snapshot{Configuration: tt.configuration, OperatorsBehind: tt.behind, Self: modeler.Node{Leaving: tt.leaving}}
 			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, tt.path, tt.body)
 			r.Host = tt.host
 			r.Header = platformtest.CallerHeader("r1", tt.key)
--- a/internal/fleet/modeler/snapshot.go
+++ b/internal/fleet/modeler/snapshot.go
@@ -14,6 +14,8 @@
 	// OperatorsAge and EndpointsAge are the times since this node's state of the two topics was last confirmed as current, by its own read
 	// or another node's, as of the time of the snapshot.
 	OperatorsAge, EndpointsAge time.Duration
+	// OperatorsBehind is set if this node lacks operators' records that another node has read.
+	OperatorsBehind bool
 	// ReadsForAll is set while this node reads the store and distributes the changes to all nodes.
 	ReadsForAll bool
 	// Limited holds the endpoints that name a limit, and Leaving is the number of those that have said in a response that they are shutting down.
@@ -33,7 +35,7 @@
 	s := &Snapshot{
 		Self: world.Self, Coordinator: world.Coordinator, Configuration: world.Configuration, Alive: alive, ReadsForAll: world.ReadsForAll,
 		OperatorsAge: now.Sub(world.ConfirmedAt[Operators]), EndpointsAge: now.Sub(world.ConfirmedAt[Endpoints]), Waiting: world.Waiting.Len(),
-		Endpoints: map[EndpointState]int{},
+		OperatorsBehind: world.OperatorsBehind, Endpoints: map[EndpointState]int{},
 	}
 	for _, endpoint := range world.Endpoints.All() {
 		s.Endpoints[world.State(endpoint, now)]++
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -71,6 +71,8 @@
 	ConfirmedAt [2]time.Time
 	// ReadPositions holds this node's read positions in Operators and Endpoints, as sent to other nodes.
 	ReadPositions [2]ReadPosition
+	// OperatorsBehind is set if another node has read operators' records that this node lacks.
+	OperatorsBehind bool
 	// HeldState identifies the operators' records that this node holds, as sent to other nodes.
 	HeldState StateID
 	// IsHub is set if this node is one of the hubs, see package elector.
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -114,6 +114,7 @@
 	s.lag.report(tick, world.NextOffsets[modeler.Operators], s.states[modeler.Operators].target)
 	s.updateReadPositions(tick.Now, world)
 	world.HeldState = s.operators.state.ID
+	world.OperatorsBehind = s.states[modeler.Operators].target > world.NextOffsets[modeler.Operators]
 }
 
 // handleRead updates the topic's state after a read by this node or another one.
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -234,3 +234,13 @@
 	}
 	assert.Assert(t, calls >= 9 && calls <= 14, "%d calls in 5 s", calls)
 }
+
+// TestOperatorsBehind guards against a node that answers with an old configuration as if it were the newest one.
+func TestOperatorsBehind(t *testing.T) {
+	n := newNode("n", "other")
+	assert.Assert(t, !n.world.OperatorsBehind)
+	n.run(beat(modeler.ReadPosition{End: 7, LastChangeEnd: 7}, modeler.ReadPosition{End: 5, LastChangeEnd: 5}))
+	assert.Assert(t, n.world.OperatorsBehind)
+	n.run(modeler.TopicRead{Topic: modeler.Operators, Next: 7, End: 7, ConfirmedAt: start})
+	assert.Assert(t, !n.world.OperatorsBehind)
+}
