Log that the store has come back from a copy

Cause: Store-Era was read nowhere, so that no line showed that the store's records are those of an earlier moment.

Change: the client of the store reads the header, and StoreRestored says on each node when it has risen. No decision changes.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -23,6 +23,8 @@
 type System struct {
 	// dataCentreOffsets holds the highest offset of each data centre's records.
 	dataCentreOffsets map[modeler.DataCentreID]int64
+	// era is the highest era of the store that this node has seen, and zero before the first one.
+	era int64
 	// unavailable is set while the store responds to no node, as shown by a failed call that started at failedAt.
 	unavailable bool
 	failedAt    time.Time
@@ -59,6 +61,8 @@
 			s.applyListing(tick, world, e)
 		case modeler.TopicRead:
 			s.handleRead(tick, world, e)
+		case modeler.StoreRestored:
+			s.handleRestored(tick, e)
 		case modeler.TopicFailed:
 			s.handleFailure(tick, world, e)
 		}
@@ -261,6 +265,19 @@
 	}})
 }
 
+// handleRestored logs that the store has come back from a copy. The first era that a process sees is not a return.
+func (s *System) handleRestored(tick *modeler.Tick, e modeler.StoreRestored) {
+	if e.Era <= s.era {
+		return
+	}
+	previous := s.era
+	if s.era = e.Era; previous > 0 {
+		tick.Emit(modeler.LogEvent{Name: modeler.LogEventStoreRestored, Fields: []modeler.LogField{
+			{Key: "Era", Value: e.Era}, {Key: "Previous", Value: previous},
+		}})
+	}
+}
+
 // handleFailure records that the store is unavailable if no node has read it since the failed call started, nor shortly before now: a call that gets no
 // response fails at its time limit, which may be after the store's recovery, and the store may turn away single nodes.
 func (s *System) handleFailure(tick *modeler.Tick, world *modeler.World, e modeler.TopicFailed) {
--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -115,8 +115,6 @@
 	if err != nil {
 		return fmt.Errorf("listen for other nodes: %w", err)
 	}
-	store, closeStore := platform.NewStore(settings.Store.Address)
-	defer closeStore()
 	pool, closePool := dialer.NewPool(maxIdleConnections)
 	defer closePool()
 	reserver, closeReserver := platform.NewOrderClient()
@@ -125,6 +123,8 @@
 	serving, cutOff := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cutOff(nil)
 	n := &Node{settings: settings, serving: serving}
+	store, closeStore := platform.NewStore(settings.Store.Address, func(era int64) { n.loop.Post(modeler.StoreRestored{Era: era}) })
+	defer closeStore()
 	self := modeler.Node{
 		ID: modeler.NodeID(settings.Node.Name), Incarnation: rand.Uint64() >> 1, Rank: modeler.UnregisteredRank, PeerAddress: peerAddress,
 		CallerAddress: settings.Listen.Callers, DataCentre: modeler.DataCentreID(settings.Node.DataCentre), Region: settings.Node.Region,
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -73,6 +73,9 @@
 		Reason    string
 		StartedAt time.Time
 	}
+	// StoreRestored reports that a response of the store has named a new era: the store has come back from a copy, and what was written since then is
+	// gone. It also comes for the first response to this process.
+	StoreRestored struct{ Era int64 }
 	// QuarantinesRead carries the quarantines that the store holds.
 	QuarantinesRead struct{ Suspects []Suspect }
 
@@ -132,6 +135,7 @@
 func (TopicListed) event()          {}
 func (TopicRead) event()            {}
 func (TopicFailed) event()          {}
+func (StoreRestored) event()        {}
 func (QuarantinesRead) event()      {}
 func (PlacementRequested) event()   {}
 func (ExplainRequested) event()     {}
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -59,6 +59,8 @@
 	LogEventStoreLost LogEventName = "StoreLost"
 	// LogEventStoreRegained: Topic, SinceFailure.
 	LogEventStoreRegained LogEventName = "StoreRegained"
+	// LogEventStoreRestored: Era, Previous.
+	LogEventStoreRestored LogEventName = "StoreRestored"
 	// LogEventOperatorsBehind: Next, Target, For, Failures, Reason.
 	LogEventOperatorsBehind LogEventName = "OperatorsBehind"
 	// LogEventOperatorsCaughtUp: Next, After, Failures.
@@ -96,7 +98,7 @@
 	LogEventNodeRegistered, LogEventNodeTimedOut, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
 	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
-	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateUnusable,
+	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventStoreRestored, LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateUnusable,
 	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAttemptRepeated, LogEventRequestEnded,
 	LogEventRequestRejected,
 }
--- a/internal/fleet/modeler/store.go
+++ b/internal/fleet/modeler/store.go
@@ -9,6 +9,9 @@
 	Offset int64
 }
 
+// MaxEra is the highest era of the store that this version can represent.
+const MaxEra = 1<<20 - 1
+
 // Page is the result of one read from the store.
 type Page struct {
 	Records []Record
