--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -22,7 +22,7 @@
 // record of the same key is ignored.
 type System struct {
 	// dataCentreOffsets holds the highest offset of each data centre's records.
-	dataCentreOffsets map[modeler.DataCentreID]int64
+	dataCentreOffsets map[modeler.DataCentreID]modeler.Position
 	// era is the highest era of the store that this node has seen, and zero before the first one.
 	era int64
 	// unavailable is set while the store responds to no node, as shown by a failed call that started at failedAt.
@@ -36,7 +36,7 @@
 }
 
 // New returns a System.
-func New() *System { return &System{dataCentreOffsets: map[modeler.DataCentreID]int64{}} }
+func New() *System { return &System{dataCentreOffsets: map[modeler.DataCentreID]modeler.Position{}} }
 
 // Run implements modeler.System.
 func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
@@ -98,14 +98,14 @@
 	}
 }
 
-func logDataCentre(tick *modeler.Tick, id modeler.DataCentreID, out bool, offset int64) {
+func logDataCentre(tick *modeler.Tick, id modeler.DataCentreID, out bool, offset modeler.Position) {
 	tick.Emit(modeler.LogEvent{Name: modeler.LogEventDataCentreChanged, Fields: []modeler.LogField{
 		{Key: "DataCentre", Value: string(id)}, {Key: "Out", Value: out}, {Key: "Offset", Value: offset},
 	}})
 }
 
 // advanceOffset reports whether the offset is higher than that of every earlier record of the endpoint, and stores it if so.
-func advanceOffset(world *modeler.World, id modeler.EndpointID, offset int64) bool {
+func advanceOffset(world *modeler.World, id modeler.EndpointID, offset modeler.Position) bool {
 	if known, ok := world.EndpointOffsets.Get(id); ok && offset <= known {
 		return false
 	}
@@ -175,7 +175,7 @@
 
 // handleMissingEntry removes an endpoint that has no entry any more, or marks it as missing if the entry may have expired because the store was
 // unavailable.
-func (s *System) handleMissingEntry(tick *modeler.Tick, world *modeler.World, id modeler.EndpointID, offset int64, unreadable bool) {
+func (s *System) handleMissingEntry(tick *modeler.Tick, world *modeler.World, id modeler.EndpointID, offset modeler.Position, unreadable bool) {
 	endpoint, _ := world.Endpoints.Get(id)
 	kept := !unreadable && !endpoint.Draining && s.mayReappear()
 	if kept {
--- a/internal/fleet/applier/applier_test.go
+++ b/internal/fleet/applier/applier_test.go
@@ -31,11 +31,11 @@
 	return world
 }
 
-func configuration(version, offset int64) modeler.ConfigurationChanged {
+func configuration(version int64, offset modeler.Position) modeler.ConfigurationChanged {
 	return modeler.ConfigurationChanged{Configuration: modeler.NewConfiguration(version, nil, nil, nil, modeler.Limits{}).WithOffset(offset)}
 }
 
-func changed(offset int64) modeler.EndpointChanged {
+func changed(offset modeler.Position) modeler.EndpointChanged {
 	return modeler.EndpointChanged{Endpoint: modeler.Endpoint{ID: "e", Service: "s", Address: "a"}, Offset: offset}
 }
 
@@ -58,7 +58,7 @@
 
 // TestDataCentres guards against a data centre that stays in service after operators took it out, or out of service after they put it back.
 func TestDataCentres(t *testing.T) {
-	change := func(out bool, offset int64) modeler.DataCentreChanged {
+	change := func(out bool, offset modeler.Position) modeler.DataCentreChanged {
 		return modeler.DataCentreChanged{DataCentre: "dc", Out: out, Offset: offset}
 	}
 	tests := []struct {
--- a/internal/fleet/applier/dropped_test.go
+++ b/internal/fleet/applier/dropped_test.go
@@ -14,7 +14,7 @@
 // TestDroppedEntries guards against a node that starts after an outage of the store and sends all requests to the few endpoints whose entries are back; and
 // against one that uses endpoints which have crashed or left, or goes on using some that do not come back.
 func TestDroppedEntries(t *testing.T) {
-	entry := func(id int, offset int64, draining bool) modeler.EndpointChanged {
+	entry := func(id int, offset modeler.Position, draining bool) modeler.EndpointChanged {
 		name := fmt.Sprint("e", id)
 		return modeler.EndpointChanged{
 			Endpoint: modeler.Endpoint{ID: modeler.EndpointID(name), Service: "s", Address: name, Draining: draining}, Offset: offset,
@@ -44,12 +44,12 @@
 			var events []modeler.Event
 			keys := map[string]bool{}
 			for i := range tt.listed {
-				events = append(events, entry(i, int64(i), false))
+				events = append(events, entry(i, modeler.Position(i), false))
 				keys[fmt.Sprint("e", i)] = true
 			}
 			var dropped []modeler.EndpointChanged
 			for i := range tt.ready + tt.draining {
-				e := entry(100+i, int64(100+i), i >= tt.ready)
+				e := entry(100+i, modeler.Position(100+i), i >= tt.ready)
 				if tt.replaced {
 					e.Endpoint.Address = fmt.Sprint("e", i)
 				}
--- a/internal/fleet/elector/digest.go
+++ b/internal/fleet/elector/digest.go
@@ -194,7 +194,7 @@
 	if stale {
 		return
 	}
-	ages := make(map[int64]time.Duration, len(digest.AliveRanks))
+	ages := make(map[modeler.Position]time.Duration, len(digest.AliveRanks))
 	for _, report := range digest.AliveRanks {
 		ages[report.Rank] = report.Age
 	}
--- a/internal/fleet/elector/digest_chain_test.go
+++ b/internal/fleet/elector/digest_chain_test.go
@@ -56,7 +56,7 @@
 		for id, at := range back {
 			if !f.now.Before(at) {
 				delete(back, id)
-				f.start(id, int64(100+restarted), uint64(100+restarted))
+				f.start(id, modeler.Position(100+restarted), uint64(100+restarted))
 				startedAt[id] = f.now
 			}
 		}
--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -43,7 +43,7 @@
 			world := modeler.NewWorld(modeler.Node{ID: "self"})
 			world.Coordinator = "self"
 			for i := range tt.nodes - 1 {
-				node := modeler.Node{ID: name(i), Incarnation: uint64(i + 1), Rank: int64(i + 1)}
+				node := modeler.Node{ID: name(i), Incarnation: uint64(i + 1), Rank: modeler.Position(i + 1)}
 				world.Nodes.Put(node.ID, node.WithLastSeen(now))
 			}
 			loads := map[modeler.EndpointID]modeler.LoadSummary{}
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -33,7 +33,7 @@
 		inbox: map[modeler.NodeID][]modeler.Event{}, dead: map[modeler.NodeID]bool{}, paused: map[modeler.NodeID]bool{}, cut: func(_, _ modeler.NodeID) bool { return false },
 	}
 	for i := range size {
-		f.start(name(i), int64(i), 1)
+		f.start(name(i), modeler.Position(i), 1)
 	}
 	return f
 }
@@ -41,7 +41,7 @@
 func name(i int) modeler.NodeID { return modeler.NodeID(fmt.Sprintf("n%02d", i)) }
 
 // start adds or restarts a node. It receives the registrations of all other nodes.
-func (f *fleet) start(id modeler.NodeID, rank int64, incarnation uint64) {
+func (f *fleet) start(id modeler.NodeID, rank modeler.Position, incarnation uint64) {
 	self := modeler.Node{ID: id, Incarnation: incarnation, Rank: modeler.UnregisteredRank, PeerAddress: string(id), CallerAddress: string(id)}
 	f.dead[id] = false
 	events := []modeler.Event{modeler.SelfRegistered{Rank: rank}}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -16,7 +16,7 @@
 
 // Store reads topics.
 type Store interface {
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (modeler.Page, error)
+	Read(ctx context.Context, topic string, from modeler.Position, wait time.Duration) (modeler.Page, error)
 	Newest(ctx context.Context, topic string) (modeler.Page, error)
 }
 
@@ -170,7 +170,7 @@
 
 // readDropped returns the entries that were removed within the last records of the topic. A failure is not reported: the listing suffices to serve.
 func (f *Follower) readDropped(ctx context.Context, listing modeler.Page) []modeler.EndpointChanged {
-	page, err := f.Store.Read(ctx, f.Source.Name, max(0, listing.Next-f.Source.History), 0)
+	page, err := f.Store.Read(ctx, f.Source.Name, max(0, listing.Next-modeler.Position(f.Source.History)), 0)
 	var truncated modeler.TruncatedError
 	if errors.As(err, &truncated) {
 		page, err = f.Store.Read(ctx, f.Source.Name, truncated.First, 0)
@@ -206,7 +206,7 @@
 		}
 	}
 	// A key may have been removed, written and removed again.
-	newest := map[modeler.EndpointID]int64{}
+	newest := map[modeler.EndpointID]modeler.Position{}
 	for _, entry := range dropped {
 		newest[entry.Endpoint.ID] = max(newest[entry.Endpoint.ID], entry.Offset)
 	}
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -21,11 +21,11 @@
 // store returns scripted results and ends the follower after the last one.
 type store struct {
 	reads, lists []result
-	from         []int64
+	from         []modeler.Position
 	end          context.CancelFunc
 }
 
-func (s *store) Read(ctx context.Context, _ string, from int64, _ time.Duration) (modeler.Page, error) {
+func (s *store) Read(ctx context.Context, _ string, from modeler.Position, _ time.Duration) (modeler.Page, error) {
 	s.from = append(s.from, from)
 	return s.next(ctx, &s.reads)
 }
@@ -44,7 +44,7 @@
 	return a.page, a.err
 }
 
-func record(key string, offset int64) modeler.Record {
+func record(key string, offset modeler.Position) modeler.Record {
 	return modeler.Record{Key: key, Value: []byte("v"), Offset: offset}
 }
 
@@ -54,7 +54,7 @@
 	tests := []struct {
 		name         string
 		reads, lists []result
-		from         []int64
+		from         []modeler.Position
 		// want names the events in order.
 		want []string
 	}{
@@ -62,25 +62,25 @@
 			"lists, then reads",
 			[]result{{page: modeler.Page{Next: 6, Records: []modeler.Record{record("b", 5)}}}},
 			[]result{{page: modeler.Page{Next: 5, Records: []modeler.Record{record("a", 2)}}}},
-			[]int64{5, 6}, []string{"a", "listed 1", "read 5", "b", "read 6"},
+			[]modeler.Position{5, 6}, []string{"a", "listed 1", "read 5", "b", "read 6"},
 		},
 		{
 			"continues after a failed call", []result{{err: busy}, {page: modeler.Page{Next: 5}}}, []result{{page: modeler.Page{Next: 5}}},
-			[]int64{5, 5, 5}, []string{"listed 0", "read 5", "failed", "read 5"},
+			[]modeler.Position{5, 5, 5}, []string{"listed 0", "read 5", "failed", "read 5"},
 		},
 		{
 			"lists again after records were deleted", []result{{err: modeler.TruncatedError{First: 9}}},
 			[]result{{page: modeler.Page{Next: 5}}, {page: modeler.Page{Next: 9, Records: []modeler.Record{record("c", 8)}}}},
-			[]int64{5, 9}, []string{"listed 0", "read 5", "c", "listed 1", "read 9"},
+			[]modeler.Position{5, 9}, []string{"listed 0", "read 5", "c", "listed 1", "read 9"},
 		},
 		{
 			"lists if the next record does not fit a page", []result{{page: modeler.Page{Next: 5, End: 6}}},
 			[]result{{page: modeler.Page{Next: 5}}, {page: modeler.Page{Next: 6, Records: []modeler.Record{record("c", 5)}}}},
-			[]int64{5, 6}, []string{"listed 0", "read 5", "c", "listed 1", "read 6"},
+			[]modeler.Position{5, 6}, []string{"listed 0", "read 5", "c", "listed 1", "read 6"},
 		},
 		{
 			"unreadable record", nil, []result{{page: modeler.Page{Next: 3, Records: []modeler.Record{record("bad", 1), record("a", 2)}}}},
-			[]int64{3}, []string{"unreadable", "a", "listed 2", "read 3"},
+			[]modeler.Position{3}, []string{"unreadable", "a", "listed 2", "read 3"},
 		},
 	}
 	for _, tt := range tests {
@@ -98,7 +98,7 @@
 				},
 			}
 			var f *follower.Follower
-			next := int64(0)
+			next := modeler.Position(0)
 			post := func(e modeler.Event) {
 				got = append(got, describe(e))
 				switch e := e.(type) {
@@ -137,7 +137,7 @@
 // silentStore blocks each call until its context ends.
 type silentStore struct{ called chan struct{} }
 
-func (s *silentStore) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (modeler.Page, error) {
+func (s *silentStore) Read(ctx context.Context, _ string, _ modeler.Position, _ time.Duration) (modeler.Page, error) {
 	return s.Newest(ctx, "")
 }
 
@@ -183,7 +183,7 @@
 func TestPartialRead(t *testing.T) {
 	tests := []struct {
 		name      string
-		end       int64
+		end       modeler.Position
 		confirmed bool
 	}{
 		{"part of the records", 9, false}, {"all records", 6, true},
--- a/internal/fleet/follower/quarantines_test.go
+++ b/internal/fleet/follower/quarantines_test.go
@@ -34,7 +34,7 @@
 	return nil
 }
 
-func (s *keyedStore) Read(context.Context, string, int64, time.Duration) (modeler.Page, error) {
+func (s *keyedStore) Read(context.Context, string, modeler.Position, time.Duration) (modeler.Page, error) {
 	return modeler.Page{}, errors.New("not expected")
 }
 
@@ -51,7 +51,7 @@
 	return page, s.call()
 }
 
-func (s *keyedStore) Append(_ context.Context, _, key string, value []byte) (int64, error) {
+func (s *keyedStore) Append(_ context.Context, _, key string, value []byte) (modeler.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.call(); err != nil {
--- a/internal/fleet/follower/registrar.go
+++ b/internal/fleet/follower/registrar.go
@@ -12,7 +12,7 @@
 // Appender reads topics and appends records to them.
 type Appender interface {
 	Store
-	Append(ctx context.Context, topic, key string, value []byte) (int64, error)
+	Append(ctx context.Context, topic, key string, value []byte) (modeler.Position, error)
 }
 
 // registration is the value of a node's record in the store.
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -39,7 +39,7 @@
 	case *Datagram_StatePiece:
 		p := body.StatePiece
 		message.Body = modeler.StatePiece{
-			State: modeler.StateID(p.GetState()), Base: modeler.StateID(p.GetBase()), Next: p.GetNext(), Age: microseconds(p.GetAge()),
+			State: modeler.StateID(p.GetState()), Base: modeler.StateID(p.GetBase()), Next: modeler.Position(p.GetNext()), Age: microseconds(p.GetAge()),
 			Index: int(p.GetIndex()), Count: int(p.GetCount()), Data: p.GetData(),
 		}
 	case *Datagram_TermsReport:
@@ -98,7 +98,7 @@
 
 func decodeNode(n *Node) modeler.Node {
 	return modeler.Node{
-		ID: modeler.NodeID(n.GetId()), Incarnation: n.GetIncarnation(), Rank: n.GetRank(), PeerAddress: n.GetPeerAddress(),
+		ID: modeler.NodeID(n.GetId()), Incarnation: n.GetIncarnation(), Rank: modeler.Position(n.GetRank()), PeerAddress: n.GetPeerAddress(),
 		CallerAddress: n.GetCallerAddress(), DataCentre: modeler.DataCentreID(n.GetDataCentre()), Region: n.GetRegion(), Leaving: n.GetLeaving(),
 		MilliCores: int(n.GetMilliCores()),
 	}
@@ -111,7 +111,7 @@
 	}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.ReadPositions) {
-			beat.ReadPositions[i] = modeler.ReadPosition{End: k.GetEnd(), LastChangeEnd: k.GetMaterial(), Age: microseconds(k.GetAge())}
+			beat.ReadPositions[i] = modeler.ReadPosition{End: modeler.Position(k.GetEnd()), LastChangeEnd: modeler.Position(k.GetMaterial()), Age: microseconds(k.GetAge())}
 		}
 	}
 	for _, a := range b.GetRunning() {
@@ -127,14 +127,14 @@
 }
 
 func decodeEndpointNews(n *EndpointNews) modeler.EndpointChanges {
-	update := modeler.EndpointChanges{From: n.GetFrom(), Next: n.GetNext()}
+	update := modeler.EndpointChanges{From: modeler.Position(n.GetFrom()), Next: modeler.Position(n.GetNext())}
 	for _, c := range n.GetChanges() {
 		update.Changes = append(update.Changes, modeler.EndpointChange{
 			Endpoint: modeler.Endpoint{
 				ID: modeler.EndpointID(c.GetId()), Service: modeler.ServiceID(c.GetService()), Address: c.GetAddress(),
 				DataCentre: modeler.DataCentreID(c.GetDataCentre()), Slots: int(c.GetSlots()), Draining: c.GetDraining(), StartUnixMilli: c.GetBorn(),
 			},
-			ColdFor: microseconds(c.GetColdFor()), Offset: c.GetOffset(), Removed: c.GetRemoved(), Unreadable: c.GetUnreadable(),
+			ColdFor: microseconds(c.GetColdFor()), Offset: modeler.Position(c.GetOffset()), Removed: c.GetRemoved(), Unreadable: c.GetUnreadable(),
 		})
 	}
 	return update
@@ -146,7 +146,7 @@
 		digest.Alive = append(digest.Alive, modeler.ReportedNode{Node: decodeNode(n), Age: microseconds(n.GetAge())})
 	}
 	for i, rank := range d.GetAliveRanks() {
-		report := modeler.ReportedRank{Rank: rank}
+		report := modeler.ReportedRank{Rank: modeler.Position(rank)}
 		if i < len(d.GetAliveAgesMs()) {
 			report.Age = time.Duration(d.GetAliveAgesMs()[i]) * time.Millisecond
 		}
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -33,7 +33,7 @@
 		d.Body = &Datagram_EndpointNews{EndpointNews: encodeEndpointNews(body)}
 	case modeler.StatePiece:
 		d.Body = &Datagram_StatePiece{StatePiece: &StatePiece{
-			State: uint64(body.State), Base: uint64(body.Base), Next: body.Next, Age: body.Age.Microseconds(),
+			State: uint64(body.State), Base: uint64(body.Base), Next: int64(body.Next), Age: body.Age.Microseconds(),
 			Index: uint32(body.Index), Count: uint32(body.Count), Data: body.Data,
 		}}
 	case modeler.TermsReport:
@@ -81,7 +81,7 @@
 
 func encodeNode(n modeler.Node) *Node {
 	return &Node{
-		Id: string(n.ID), Incarnation: n.Incarnation, Rank: n.Rank, PeerAddress: n.PeerAddress, CallerAddress: n.CallerAddress,
+		Id: string(n.ID), Incarnation: n.Incarnation, Rank: int64(n.Rank), PeerAddress: n.PeerAddress, CallerAddress: n.CallerAddress,
 		DataCentre: string(n.DataCentre), Region: n.Region, Leaving: n.Leaving,
 		MilliCores: int32(n.MilliCores),
 	}
@@ -93,7 +93,7 @@
 		Terms: encodeTerms(body.Terms), Holds: uint64(body.Holds), Part: uint32(body.Part.Index), Parts: uint32(body.Part.Count),
 	}
 	for _, k := range body.ReadPositions {
-		beat.Known = append(beat.Known, &Known{End: k.End, Material: k.LastChangeEnd, Age: k.Age.Microseconds()})
+		beat.Known = append(beat.Known, &Known{End: int64(k.End), Material: int64(k.LastChangeEnd), Age: k.Age.Microseconds()})
 	}
 	for _, a := range body.Running {
 		beat.Running = append(beat.Running, &Assignment{
@@ -104,12 +104,12 @@
 }
 
 func encodeEndpointNews(body modeler.EndpointChanges) *EndpointNews {
-	update := &EndpointNews{From: body.From, Next: body.Next}
+	update := &EndpointNews{From: int64(body.From), Next: int64(body.Next)}
 	for _, c := range body.Changes {
 		e := c.Endpoint
 		update.Changes = append(update.Changes, &EndpointChange{
 			Id: string(e.ID), Service: string(e.Service), Address: e.Address, DataCentre: string(e.DataCentre), Slots: int32(e.Slots),
-			Draining: e.Draining, Born: e.StartUnixMilli, ColdFor: c.ColdFor.Microseconds(), Offset: c.Offset,
+			Draining: e.Draining, Born: e.StartUnixMilli, ColdFor: c.ColdFor.Microseconds(), Offset: int64(c.Offset),
 			Removed: c.Removed, Unreadable: c.Unreadable,
 		})
 	}
@@ -124,7 +124,7 @@
 		digest.Alive = append(digest.Alive, node)
 	}
 	for _, r := range body.AliveRanks {
-		digest.AliveRanks = append(digest.AliveRanks, r.Rank)
+		digest.AliveRanks = append(digest.AliveRanks, int64(r.Rank))
 		// Rounded up, so that a report that passes through several nodes does not become newer.
 		digest.AliveAgesMs = append(digest.AliveAgesMs, uint32((max(r.Age, 0)+time.Millisecond-1)/time.Millisecond))
 	}
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -146,12 +146,12 @@
 			send, receive := newEndpointNode("n", "n"), newEndpointNode("other", "n")
 			var events []modeler.Event
 			for i := range tt.changes {
-				events = append(events, modeler.EndpointChanged{Offset: int64(5 + i), Endpoint: modeler.Endpoint{
+				events = append(events, modeler.EndpointChanged{Offset: modeler.Position(5 + i), Endpoint: modeler.Endpoint{
 					ID: modeler.EndpointID(fmt.Sprintf("i-3f7a01c9%04x", i)), Service: "service-of-engines", Address: "10.200.100.100:12345",
 					DataCentre: "data-centre-a", Slots: 16, StartUnixMilli: 1 << 41,
 				}})
 			}
-			end := int64(5 + tt.changes)
+			end := modeler.Position(5 + tt.changes)
 			effects := send.run(append(events, modeler.TopicRead{Topic: modeler.Endpoints, Next: end, End: end, ConfirmedAt: now})...)
 			var messages []modeler.Message
 			for _, effect := range effects {
@@ -166,7 +166,7 @@
 			for _, message := range messages[1:] {
 				receive.run(modeler.PeerReceived{Message: message})
 			}
-			assert.Equal(t, receive.world.NextOffsets[modeler.Endpoints], int64(5), "the first message was lost")
+			assert.Equal(t, receive.world.NextOffsets[modeler.Endpoints], modeler.Position(5), "the first message was lost")
 			for _, message := range messages {
 				receive.run(modeler.PeerReceived{Message: message})
 			}
--- a/internal/fleet/modeler/configuration.go
+++ b/internal/fleet/modeler/configuration.go
@@ -158,8 +158,8 @@
 type Configuration struct {
 	// Version is set by the operators. A configuration replaces another one only if its Version and its Offset are both higher.
 	Version int64
-	// Offset is the offset of the configuration's record in the store.
-	Offset   int64
+	// Offset is the position of the configuration's record in the store.
+	Offset   Position
 	Limits   Limits
 	services map[ServiceID]Service
 	members  map[string]Member
@@ -187,7 +187,7 @@
 }
 
 // WithOffset returns the configuration with the offset of its record.
-func (c Configuration) WithOffset(offset int64) Configuration {
+func (c Configuration) WithOffset(offset Position) Configuration {
 	c.Offset = offset
 	return c
 }
--- a/internal/fleet/modeler/endpoint.go
+++ b/internal/fleet/modeler/endpoint.go
@@ -20,7 +20,7 @@
 	// StartUnixMilli is the start time of the endpoint's process in Unix milliseconds, as reported by the endpoint.
 	StartUnixMilli int64
 	// ChangeOffset is the store offset of the last record that changed any field other than ColdUntil.
-	ChangeOffset int64
+	ChangeOffset Position
 	// MissingSince is set while the endpoint has no entry in the store and the entry may have expired because of a store failure.
 	MissingSince time.Time
 }
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -25,19 +25,19 @@
 	DataCentreChanged struct {
 		DataCentre DataCentreID
 		Out        bool
-		Offset     int64
+		Offset     Position
 	}
 	// EndpointChanged carries the entry of an endpoint.
 	EndpointChanged struct {
 		Endpoint Endpoint
 		// ColdFor is the remaining time of the endpoint's cold start.
 		ColdFor time.Duration
-		Offset  int64
+		Offset  Position
 	}
 	// EndpointRemoved reports that an endpoint no longer has a usable entry.
 	EndpointRemoved struct {
 		ID     EndpointID
-		Offset int64
+		Offset Position
 		// Unreadable is set if the entry exists but cannot be used.
 		Unreadable bool
 	}
@@ -46,20 +46,20 @@
 	// NodeRegistered carries the registration of a node.
 	NodeRegistered struct{ Node Node }
 	// SelfRegistered reports that the registration of this node was written to the store.
-	SelfRegistered struct{ Rank int64 }
+	SelfRegistered struct{ Rank Position }
 	// TopicListed ends a listing of a topic, after the events for the newest record of each key. A key that is not in Keys was deleted,
 	// unless it has a record with an offset of End or higher.
 	TopicListed struct {
 		Topic Topic
 		Keys  map[string]bool
 		// End is the end offset of the topic when the listing began.
-		End int64
+		End Position
 	}
 	// TopicRead reports that all records before Next were read, and that there were no later records at the time ConfirmedAt. ConfirmedAt is zero if there
 	// were: the response held only a part of the records before End.
 	TopicRead struct {
 		Topic       Topic
-		Next, End   int64
+		Next, End   Position
 		ConfirmedAt time.Time
 		// Records are the records that were read. It must not be modified.
 		Records []Record
@@ -201,7 +201,7 @@
 	// not read the topic before lists the newest record of each key instead.
 	Fetch struct {
 		Topic Topic
-		From  int64
+		From  Position
 		// Wait is how long the store may wait for new records before it returns none.
 		Wait time.Duration
 		// Newest requests the newest record of each key instead of all records from From on.
@@ -227,7 +227,7 @@
 	UnpackState struct {
 		State  StateID
 		Base   OperatorState
-		Next   int64
+		Next   Position
 		Packed []byte
 		// ConfirmedAt is when the sender last confirmed that there were no later records.
 		ConfirmedAt time.Time
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -69,7 +69,7 @@
 		State StateID
 		// Base identifies the records that the receiver must hold to unpack the state. It is zero if the state is packed as a whole.
 		Base  StateID
-		Next  int64
+		Next  Position
 		Age   time.Duration
 		Index int
 		Count int
@@ -77,7 +77,7 @@
 	}
 	// EndpointChanges distributes all changes of endpoints between the offsets From (inclusive) and Next (exclusive).
 	EndpointChanges struct {
-		From, Next int64
+		From, Next Position
 		Changes    []EndpointChange
 	}
 	// Digest is the coordinator's summary of the fleet.
@@ -102,7 +102,7 @@
 	}
 	// ReportedRank is the rank of a node in a digest. Age is that of a ReportedNode.
 	ReportedRank struct {
-		Rank int64
+		Rank Position
 		Age  time.Duration
 	}
 	// TermsReport tells the node that places requests what endpoints have said to the sender.
@@ -123,7 +123,7 @@
 // ReadPosition is a node's read position in a topic.
 type ReadPosition struct {
 	// End is the offset before which all records are known. LastChangeEnd is the offset after the last record that changed anything.
-	End, LastChangeEnd int64
+	End, LastChangeEnd Position
 	// Age is the time since the node last confirmed that End was the end of the topic.
 	Age time.Duration
 }
@@ -132,7 +132,7 @@
 type EndpointChange struct {
 	Endpoint            Endpoint
 	ColdFor             time.Duration
-	Offset              int64
+	Offset              Position
 	Removed, Unreadable bool
 }
 
--- a/internal/fleet/modeler/node.go
+++ b/internal/fleet/modeler/node.go
@@ -10,9 +10,9 @@
 	ID NodeID
 	// Incarnation differs for each start of the process.
 	Incarnation uint64
-	// Rank is the store offset of the node's registration. The live node that Precedes all others coordinates placement. Nodes that are not
+	// Rank is the position of the node's registration. The live node that Precedes all others coordinates placement. Nodes that are not
 	// registered yet have UnregisteredRank.
-	Rank int64
+	Rank Position
 	// MilliCores is the processor capacity in thousandths of a core. It is zero if it is unknown, and in messages as long as the node cannot
 	// coordinate because it has not read the store.
 	MilliCores int
@@ -36,8 +36,8 @@
 	Coordinates bool
 }
 
-// UnregisteredRank is the rank of a node that is not registered in the store yet. It is higher than any offset.
-const UnregisteredRank int64 = 1 << 62
+// UnregisteredRank is the rank of a node that is not registered in the store yet. It is higher than any position.
+const UnregisteredRank Position = 1 << 62
 
 // WithLastSeen returns the node after a message from it was received.
 func (n Node) WithLastSeen(at time.Time) Node {
@@ -104,7 +104,7 @@
 }
 
 // WithRank returns the node with the rank of its registration.
-func (n Node) WithRank(rank int64) Node {
+func (n Node) WithRank(rank Position) Node {
 	n.Rank = rank
 	return n
 }
--- a/internal/fleet/modeler/operator_state.go
+++ b/internal/fleet/modeler/operator_state.go
@@ -18,11 +18,11 @@
 	// Records are in the order of their keys, each of which occurs once.
 	Records []Record
 	// Next is the offset before which all records are known.
-	Next int64
+	Next Position
 }
 
 // NewOperatorState returns the state with the given records, which it sorts.
-func NewOperatorState(records []Record, next int64) OperatorState {
+func NewOperatorState(records []Record, next Position) OperatorState {
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Key, b.Key) })
 	if len(records) == 0 {
 		return OperatorState{Next: next}
@@ -30,14 +30,14 @@
 	hash := xxhash.New()
 	var buffer []byte
 	for _, r := range records {
-		buffer = binary.AppendVarint(buffer[:0], r.Offset)
+		buffer = binary.AppendVarint(buffer[:0], int64(r.Offset))
 		buffer = binary.AppendUvarint(buffer, uint64(len(r.Key)))
 		buffer = append(buffer, r.Key...)
 		buffer = binary.AppendUvarint(buffer, uint64(len(r.Value)))
 		_, _ = hash.Write(buffer)
 		_, _ = hash.Write(r.Value)
 	}
-	_, _ = hash.Write(binary.AppendVarint(buffer[:0], next))
+	_, _ = hash.Write(binary.AppendVarint(buffer[:0], int64(next)))
 	return OperatorState{ID: StateID(max(hash.Sum64(), 1)), Records: records, Next: next}
 }
 
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -24,12 +24,12 @@
 
 	Configuration Configuration
 	// OutDataCentres holds the data centres that are out of service and the offsets of their records.
-	OutDataCentres *tabler.Table[DataCentreID, int64]
+	OutDataCentres *tabler.Table[DataCentreID, Position]
 
 	Endpoints *tabler.Table[EndpointID, Endpoint]
 	// EndpointOffsets holds the highest offset of each endpoint's records, including removed endpoints, so that older records are
 	// ignored.
-	EndpointOffsets *tabler.Table[EndpointID, int64]
+	EndpointOffsets *tabler.Table[EndpointID, Position]
 	Health          *tabler.Table[EndpointID, Health]
 	Nodes           *tabler.Table[NodeID, Node]
 
@@ -66,7 +66,7 @@
 	changedEndpoints map[EndpointID]struct{}
 
 	// NextOffsets holds the offset before which all records of each topic are known.
-	NextOffsets [3]int64
+	NextOffsets [3]Position
 	// ConfirmedAt is when this node's state of Operators and Endpoints was last confirmed as current, by its own read or another node's.
 	ConfirmedAt [2]time.Time
 	// ReadPositions holds this node's read positions in Operators and Endpoints, as sent to other nodes.
@@ -90,9 +90,9 @@
 func NewWorld(self Node) *World {
 	return &World{
 		Self:            self,
-		OutDataCentres:  tabler.NewTable[DataCentreID, int64](),
+		OutDataCentres:  tabler.NewTable[DataCentreID, Position](),
 		Endpoints:       tabler.NewTable[EndpointID, Endpoint](),
-		EndpointOffsets: tabler.NewTable[EndpointID, int64](),
+		EndpointOffsets: tabler.NewTable[EndpointID, Position](),
 		Health:          tabler.NewTable[EndpointID, Health](),
 		Nodes:           tabler.NewTable[NodeID, Node](),
 		Assignments:     tabler.NewTable[RequestID, Assignment](),
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -113,6 +113,8 @@
 		return line.Int(field.Key, value)
 	case int64:
 		return line.Int64(field.Key, value)
+	case modeler.Position:
+		return line.Stringer(field.Key, value)
 	case modeler.Tokens:
 		return line.Int64(field.Key, int64(value))
 	case float64:
@@ -173,7 +175,7 @@
 // Unreadable counts a record of the store that cannot be decoded and writes a log line for it.
 func (o *Observer) Unreadable(topic modeler.Topic, record modeler.Record, err error) {
 	o.set.GetOrCreateCounter(`damaskpick_unreadable_records_total{topic="` + topic.String() + `"}`).Inc()
-	o.options.Events.Warn().Str("Topic", topic.String()).Str("Key", record.Key).Int64("Offset", record.Offset).Err(err).Msg(string(modeler.LogEventRecordUnreadable))
+	o.options.Events.Warn().Str("Topic", topic.String()).Str("Key", record.Key).Stringer("Offset", record.Offset).Err(err).Msg(string(modeler.LogEventRecordUnreadable))
 }
 
 // StateUnusable counts a state of the operators' records that could not be packed for other nodes or restored, and writes a log line for it.
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -19,7 +19,7 @@
 // store is a stand-in whose Read fails if wait is positive.
 type store struct{}
 
-func (store) Read(_ context.Context, _ string, _ int64, wait time.Duration) (modeler.Page, error) {
+func (store) Read(_ context.Context, _ string, _ modeler.Position, wait time.Duration) (modeler.Page, error) {
 	if wait > 0 {
 		return modeler.Page{}, errors.New("busy")
 	}
@@ -28,7 +28,7 @@
 
 func (store) Newest(context.Context, string) (modeler.Page, error) { return modeler.Page{Next: 4}, nil }
 
-func (store) Append(context.Context, string, string, []byte) (int64, error) { return 5, nil }
+func (store) Append(context.Context, string, string, []byte) (modeler.Position, error) { return 5, nil }
 
 func page(o *observer.Observer) string {
 	recorder := httptest.NewRecorder()
@@ -56,7 +56,7 @@
 	assert.NilError(t, err)
 	_, err = s.Read(t.Context(), "t", 0, time.Second)
 	assert.Error(t, err, "busy")
-	assert.DeepEqual(t, []int64{read.Next, newest.Next, offset}, []int64{3, 4, 5})
+	assert.DeepEqual(t, []modeler.Position{read.Next, newest.Next, offset}, []modeler.Position{3, 4, 5})
 	tests := []string{
 		`damaskpick_store_calls_total{call="Read",outcome="Ok"} 1`, `damaskpick_store_calls_total{call="Read",outcome="Failed"} 1`,
 		`damaskpick_store_calls_total{call="Newest",outcome="Ok"} 1`, `damaskpick_store_calls_total{call="Append",outcome="Ok"} 1`,
--- a/internal/fleet/observer/store.go
+++ b/internal/fleet/observer/store.go
@@ -18,7 +18,7 @@
 func (o *Observer) Store(next follower.Appender) *Store { return &Store{next: next, observer: o} }
 
 // Read implements follower.Store. The recorded time includes the time for which the store holds the call while it waits for new records.
-func (s *Store) Read(ctx context.Context, topic string, from int64, wait time.Duration) (modeler.Page, error) {
+func (s *Store) Read(ctx context.Context, topic string, from modeler.Position, wait time.Duration) (modeler.Page, error) {
 	began := time.Now()
 	page, err := s.next.Read(ctx, topic, from, wait)
 	s.count("Read", began, err)
@@ -34,7 +34,7 @@
 }
 
 // Append implements follower.Appender.
-func (s *Store) Append(ctx context.Context, topic, key string, value []byte) (int64, error) {
+func (s *Store) Append(ctx context.Context, topic, key string, value []byte) (modeler.Position, error) {
 	began := time.Now()
 	offset, err := s.next.Append(ctx, topic, key, value)
 	s.count("Append", began, err)
--- a/internal/fleet/packer/pack.go
+++ b/internal/fleet/packer/pack.go
@@ -72,7 +72,7 @@
 		case number == fieldOffset && kind == protowire.VarintType:
 			var offset uint64
 			offset, n = protowire.ConsumeVarint(content)
-			record.Offset = int64(offset)
+			record.Offset = modeler.Position(offset)
 		default:
 			n = protowire.ConsumeFieldValue(number, kind, content)
 		}
@@ -101,7 +101,7 @@
 }
 
 // unpack restores a state that was packed against base. It returns an error if the result is not the state with the given ID.
-func unpack(packed []byte, base modeler.OperatorState, id modeler.StateID, next int64) (modeler.OperatorState, error) {
+func unpack(packed []byte, base modeler.OperatorState, id modeler.StateID, next modeler.Position) (modeler.OperatorState, error) {
 	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxStateBytes)}
 	if base.ID != 0 {
 		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, encodeRecords(base.Records)))
--- a/internal/fleet/packer/packer_test.go
+++ b/internal/fleet/packer/packer_test.go
@@ -26,8 +26,8 @@
 	}
 	value.WriteString("]}")
 	return modeler.NewOperatorState([]modeler.Record{
-		{Key: "evacuate/a", Value: []byte("{}"), Offset: 3}, {Key: "config", Value: []byte(value.String()), Offset: int64(version)},
-	}, int64(version)+1)
+		{Key: "evacuate/a", Value: []byte("{}"), Offset: 3}, {Key: "config", Value: []byte(value.String()), Offset: modeler.Position(version)},
+	}, modeler.Position(version)+1)
 }
 
 // TestPack guards against states that differ after they were restored, against differences that are as large as the whole state, and against a difference
--- a/internal/fleet/placer/forwarded_test.go
+++ b/internal/fleet/placer/forwarded_test.go
@@ -53,9 +53,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			n := newTestNode(tt.self, "a", 2)
-			n.world.Self.Rank = int64(tt.self[0])
+			n.world.Self.Rank = modeler.Position(tt.self[0])
 			for id, node := range n.world.Nodes.All() {
-				n.world.Nodes.Put(id, node.WithRank(int64(id[0])))
+				n.world.Nodes.Put(id, node.WithRank(modeler.Position(id[0])))
 			}
 			all := tt.act(n)
 			var asked modeler.NodeID
--- a/internal/fleet/placer/load.go
+++ b/internal/fleet/placer/load.go
@@ -134,7 +134,7 @@
 type loadTable struct {
 	rows *tabler.Table[modeler.EndpointID, Load]
 	// configuration is the offset of the configuration whose engine profiles were used.
-	configuration int64
+	configuration modeler.Position
 }
 
 func newLoadTable() *loadTable {
--- a/internal/fleet/placer/queue.go
+++ b/internal/fleet/placer/queue.go
@@ -106,7 +106,7 @@
 // capacityRevision changes whenever capacity may have been freed.
 type capacityRevision struct {
 	releases, endpoints, outDataCentres uint64
-	configuration                       int64
+	configuration                       modeler.Position
 }
 
 func newQueue() *queue { return &queue{blocked: map[queueGroup]bool{}} }
--- a/internal/fleet/poller/lag.go
+++ b/internal/fleet/poller/lag.go
@@ -29,7 +29,7 @@
 }
 
 // report writes a log line when the lag has lasted for lagReportDelay, after each further failed read, and when it ends.
-func (l *lag) report(tick *modeler.Tick, next, target int64) {
+func (l *lag) report(tick *modeler.Tick, next, target modeler.Position) {
 	switch {
 	case target <= next:
 		if l.reported {
--- a/internal/fleet/poller/operators_test.go
+++ b/internal/fleet/poller/operators_test.go
@@ -20,7 +20,7 @@
 	return sent
 }
 
-func configuration(offset int64, size int) modeler.Record {
+func configuration(offset modeler.Position, size int) modeler.Record {
 	return modeler.Record{Key: "configuration", Value: make([]byte, size), Offset: offset}
 }
 
@@ -30,7 +30,7 @@
 	tests := []struct {
 		name   string
 		reads  []modeler.TopicRead
-		known  int64
+		known  modeler.Position
 		wanted []modeler.Record
 	}{
 		{"one record", []modeler.TopicRead{{Next: 6, Records: []modeler.Record{newer}}}, 5, []modeler.Record{newer}},
@@ -73,7 +73,7 @@
 }
 
 // holds returns a heartbeat of the node "other" that says which records it holds.
-func holds(next int64, state modeler.StateID) modeler.Event {
+func holds(next modeler.Position, state modeler.StateID) modeler.Event {
 	position := modeler.ReadPosition{End: next, LastChangeEnd: next}
 	return modeler.PeerReceived{Message: modeler.Message{From: "other", Body: modeler.Beat{
 		Holds: state, ReadPositions: [2]modeler.ReadPosition{position, {End: 5, LastChangeEnd: 5}},
@@ -83,7 +83,7 @@
 // TestStateBase guards against a whole configuration being sent to nodes that hold one of the last ones, and against differences that the receiver cannot
 // use.
 func TestStateBase(t *testing.T) {
-	state := func(offset int64) modeler.OperatorState {
+	state := func(offset modeler.Position) modeler.OperatorState {
 		return modeler.NewOperatorState([]modeler.Record{configuration(offset, 10)}, offset+1)
 	}
 	tests := []struct {
@@ -98,7 +98,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			n := newNode("n", "n")
-			for offset := int64(5); offset <= 8; offset++ {
+			for offset := modeler.Position(5); offset <= 8; offset++ {
 				n.run(modeler.TopicRead{Topic: modeler.Operators, Next: offset + 1, ConfirmedAt: start, Records: []modeler.Record{configuration(offset, 10)}})
 			}
 			n.now = n.now.Add(400 * time.Millisecond)
@@ -136,7 +136,7 @@
 	n := newNode("n", "n")
 	const size = 600 << 10
 	var states []modeler.StateID
-	for offset := int64(5); offset < 25; offset++ {
+	for offset := modeler.Position(5); offset < 25; offset++ {
 		records := []modeler.Record{configuration(offset, size)}
 		n.run(modeler.TopicRead{Topic: modeler.Operators, Next: offset + 1, ConfirmedAt: start, Records: records})
 		states = append(states, modeler.NewOperatorState(records, offset+1).ID)
@@ -144,7 +144,7 @@
 	n.now = n.now.Add(400 * time.Millisecond)
 	usable := 0
 	for i, id := range states[:len(states)-1] {
-		sent := sentStates(n.run(holds(int64(i)+6, id)))
+		sent := sentStates(n.run(holds(modeler.Position(i)+6, id)))
 		assert.Equal(t, len(sent), 1)
 		if sent[0].Base.ID == id {
 			usable++
@@ -157,7 +157,7 @@
 // TestReadsForAll guards against all nodes reading the store because it rejects the coordinator's calls, and against two nodes that both keep
 // reading it for all nodes.
 func TestReadsForAll(t *testing.T) {
-	reading := func(from modeler.NodeID, rank int64) modeler.Event {
+	reading := func(from modeler.NodeID, rank modeler.Position) modeler.Event {
 		body := modeler.Beat{Node: modeler.Node{ID: from, Rank: rank}, ReadsForAll: true}
 		return modeler.PeerReceived{Message: modeler.Message{From: from, Body: body}}
 	}
--- a/internal/fleet/poller/pieces_test.go
+++ b/internal/fleet/poller/pieces_test.go
@@ -13,7 +13,7 @@
 // against an older state that replaces a newer one.
 func TestPieces(t *testing.T) {
 	held := modeler.NewOperatorState([]modeler.Record{configuration(5, 10)}, 6)
-	piece := func(state, base modeler.StateID, next int64, index int) modeler.StatePiece {
+	piece := func(state, base modeler.StateID, next modeler.Position, index int) modeler.StatePiece {
 		return modeler.StatePiece{State: state, Base: base, Next: next, Index: index, Count: 3, Data: []byte{byte(state), byte(index)}}
 	}
 	type arrival struct {
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -55,7 +55,7 @@
 	backoff time.Duration
 	// target is the offset after the last change that another node has read, or the end of the topic as of the last read of this node, and behindSince is
 	// when this node was found to have read less, or zero.
-	target      int64
+	target      modeler.Position
 	behindSince time.Time
 	// wasRead is set after the first read, by this node or another one.
 	wasRead bool
@@ -67,9 +67,9 @@
 	// changes holds the changes of endpoints that were not sent to other nodes yet. Changes before the offset sentEnd were
 	// sent, unless another node sends them.
 	changes []modeler.EndpointChange
-	sentEnd int64
+	sentEnd modeler.Position
 	// lastChangeEnd is the offset after the last endpoint record that changed an endpoint.
-	lastChangeEnd int64
+	lastChangeEnd modeler.Position
 
 	operators operatorRecords
 	// incoming holds the pieces of the state that this node receives.
@@ -201,7 +201,7 @@
 
 // splitChanges returns messages with at most maxChanges changes each, which together cover all records from the offset from up to next. A receiver that
 // misses one of them does not take the later ones for complete, and reads the store.
-func splitChanges(from, next int64, changes []modeler.EndpointChange) []modeler.EndpointChanges {
+func splitChanges(from, next modeler.Position, changes []modeler.EndpointChange) []modeler.EndpointChanges {
 	slices.SortStableFunc(changes, func(a, b modeler.EndpointChange) int { return cmp.Compare(a.Offset, b.Offset) })
 	var messages []modeler.EndpointChanges
 	for len(changes) > 0 {
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -38,7 +38,7 @@
 	return tick.Effects()
 }
 
-func (n *node) read(next int64) {
+func (n *node) read(next modeler.Position) {
 	n.run(
 		modeler.TopicRead{Topic: modeler.Operators, Next: next, ConfirmedAt: n.now}, modeler.TopicRead{Topic: modeler.Endpoints, Next: next, ConfirmedAt: n.now},
 	)
@@ -142,8 +142,8 @@
 			news, _ = send.Message.Body.(modeler.EndpointChanges)
 		}
 	}
-	assert.Equal(t, news.From, int64(5))
-	assert.Equal(t, news.Next, int64(6))
+	assert.Equal(t, news.From, modeler.Position(5))
+	assert.Equal(t, news.Next, modeler.Position(6))
 	assert.Equal(t, len(news.Changes), 1)
 	again := coordinator.run(
 		modeler.EndpointChanged{Endpoint: entry.Endpoint, Offset: 6}, modeler.TopicRead{Topic: modeler.Endpoints, Next: 7, ConfirmedAt: start},
@@ -158,13 +158,13 @@
 	follower.run(message)
 	_, known := follower.world.Endpoints.Get("e")
 	assert.Assert(t, known)
-	assert.Equal(t, follower.world.NextOffsets[modeler.Endpoints], int64(6))
+	assert.Equal(t, follower.world.NextOffsets[modeler.Endpoints], modeler.Position(6))
 
 	missed := newNode("m", "other")
 	afterGap := news
 	afterGap.From, afterGap.Next = 8, 9
 	missed.run(modeler.PeerReceived{Message: modeler.Message{From: "other", Body: afterGap}})
-	assert.Equal(t, missed.world.NextOffsets[modeler.Endpoints], int64(5), "records between 5 and 8 are missing")
+	assert.Equal(t, missed.world.NextOffsets[modeler.Endpoints], modeler.Position(5), "records between 5 and 8 are missing")
 	missed.now = missed.now.Add(time.Second)
 	behind := modeler.ReadPosition{End: 9, LastChangeEnd: 9}
 	assert.DeepEqual(t, fetches(missed.run(beat(modeler.ReadPosition{End: 5, LastChangeEnd: 5}, behind))), []modeler.Topic{modeler.Endpoints})
@@ -185,11 +185,13 @@
 
 // TestReadsNewest guards against a node that reads each of many missing configurations in full, and is late with the last one.
 func TestReadsNewest(t *testing.T) {
-	position := func(end int64) modeler.ReadPosition { return modeler.ReadPosition{End: end, LastChangeEnd: end} }
+	position := func(end modeler.Position) modeler.ReadPosition {
+		return modeler.ReadPosition{End: end, LastChangeEnd: end}
+	}
 	tests := []struct {
 		name      string
-		operators int64
-		endpoints int64
+		operators modeler.Position
+		endpoints modeler.Position
 		fails     bool
 		want      modeler.Fetch
 	}{
--- a/internal/fleet/runner/loop.go
+++ b/internal/fleet/runner/loop.go
@@ -54,7 +54,7 @@
 	explanationID atomic.Uint64
 	// publishedAt is when the current snapshot was built, and publishedOffset the offset of the configuration in it.
 	publishedAt     time.Time
-	publishedOffset int64
+	publishedOffset modeler.Position
 }
 
 // envelope is an event and the channel for its decision. The channel is nil for events other than PlacementRequested.
--- a/internal/fleet/watcher/takeover_test.go
+++ b/internal/fleet/watcher/takeover_test.go
@@ -28,7 +28,7 @@
 }
 
 // add starts a node and announces it to the others.
-func (s *simulatedFleet) add(id modeler.NodeID, rank int64, milliCores int) {
+func (s *simulatedFleet) add(id modeler.NodeID, rank modeler.Position, milliCores int) {
 	self := modeler.Node{ID: id, Incarnation: uint64(rank) + 1, Rank: modeler.UnregisteredRank, PeerAddress: string(id), MilliCores: milliCores}
 	m := &fleetNode{world: modeler.NewWorld(self), systems: []modeler.System{elector.New(nil), watcher.New()}}
 	m.world.Configuration = modeler.NewConfiguration(1, nil, nil, nil, modeler.Limits{})
@@ -155,7 +155,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := &simulatedFleet{now: start, nodes: map[modeler.NodeID]*fleetNode{}}
 			for i, id := range []modeler.NodeID{"a", "b", "c", "d"} {
-				s.add(id, int64(i+1), 1000)
+				s.add(id, modeler.Position(i+1), 1000)
 			}
 			s.run(4 * time.Second)
 			for i, id := range []modeler.NodeID{"a", "b", "c"} {
--- a/internal/proof/loadtester/node_test.go
+++ b/internal/proof/loadtester/node_test.go
@@ -35,7 +35,7 @@
 func newNode(f *fleet, i, nodes int) *node {
 	self := func(i int) modeler.Node {
 		return modeler.Node{
-			ID: nodeID(i), Incarnation: uint64(i + 1), Rank: int64(i + 1), PeerAddress: string(nodeID(i)), DataCentre: f.dataCentre(i),
+			ID: nodeID(i), Incarnation: uint64(i + 1), Rank: modeler.Position(i + 1), PeerAddress: string(nodeID(i)), DataCentre: f.dataCentre(i),
 		}
 	}
 	n := &node{
