Let all nodes list endpoints after the reader's listing

A node would keep sending requests to an endpoint that has left.

Cause: the node that reads for all lists the endpoints when the store has dropped its history. It removes those whose keys are missing, but the changes that it sends hold only the entries that are there, and claim to cover all records up to the end of the listing. The others took their state for complete.

Change: changes from a listing no longer claim that.

--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -68,6 +68,9 @@
 	// sent, unless another node sends them.
 	changes []modeler.EndpointChange
 	sentEnd modeler.Position
+	// listed is set after a listing of the endpoints until changes are sent. The changes then lack those whose keys were deleted, so that the others have to
+	// list, too.
+	listed bool
 	// lastChangeEnd is the offset after the last endpoint record that changed an endpoint.
 	lastChangeEnd modeler.Position
 
@@ -127,6 +130,9 @@
 	if !e.FromPeer {
 		state.startedAt, state.backoff = time.Time{}, 0
 	}
+	if e.Topic == modeler.Endpoints && e.Listed {
+		s.listed = true
+	}
 	if e.Topic == modeler.Operators {
 		s.operators.update(e, world.IsHub || sends(world))
 		if !e.FromPeer && e.ConfirmedAt.After(s.ownReadAt) {
@@ -191,11 +197,15 @@
 func (s *System) sendChanges(tick *modeler.Tick, world *modeler.World) {
 	end := world.NextOffsets[modeler.Endpoints]
 	if s.sentEnd > 0 {
-		for _, body := range splitChanges(s.sentEnd, end, s.changes) {
+		next := end
+		if s.listed {
+			next = s.sentEnd
+		}
+		for _, body := range splitChanges(s.sentEnd, next, s.changes) {
 			s.broadcast(tick, world, body)
 		}
 	}
-	s.changes, s.sentEnd = nil, end
+	s.changes, s.sentEnd, s.listed = nil, end, false
 	s.sendChange(tick, world)
 }
 
@@ -208,7 +218,7 @@
 		count := min(len(changes), maxChanges)
 		body := modeler.EndpointChanges{From: from, Next: next, Changes: changes[:count:count]}
 		if changes = changes[count:]; len(changes) > 0 {
-			body.Next = max(from, changes[0].Offset)
+			body.Next = min(max(from, changes[0].Offset), next)
 		}
 		messages, from = append(messages, body), body.Next
 	}
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -246,3 +246,34 @@
 	n.run(modeler.TopicRead{Topic: modeler.Operators, Next: 7, End: 7, ConfirmedAt: start})
 	assert.Assert(t, !n.world.OperatorsBehind)
 }
+
+// TestListedChanges guards against a node that keeps a deleted endpoint: the node that reads for all found it missing in a listing, and the changes that it
+// sends then do not say so.
+func TestListedChanges(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed bool
+		want   modeler.Position
+	}{
+		{"read", false, 9}, {"listed", true, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reader, other := newNode("n", "n"), newNode("other", "n")
+			changed := modeler.EndpointChanged{Endpoint: modeler.Endpoint{ID: "e"}, Offset: 8}
+			events := []modeler.Event{changed}
+			if tt.listed {
+				events = append(events, modeler.TopicListed{Topic: modeler.Endpoints, Keys: map[string]bool{"e": true}, End: 9})
+			}
+			events = append(events, modeler.TopicRead{Topic: modeler.Endpoints, Next: 9, End: 9, ConfirmedAt: start, Listed: tt.listed})
+			for _, effect := range reader.run(events...) {
+				if send, ok := effect.(modeler.Send); ok {
+					other.run(modeler.PeerReceived{Message: send.Message})
+				}
+			}
+			_, known := other.world.Endpoints.Get("e")
+			assert.Assert(t, known)
+			assert.Equal(t, other.world.NextOffsets[modeler.Endpoints], tt.want)
+		})
+	}
+}
