Order records of the store by its era before their offsets

Callers saw 404 and old routes for good after the store had come back from a copy: no later version was applied.

Cause: an offset is an order within one era of the store only. Offsets are given out again, so that a later version had an offset that the node took for older, and positions of before the return looked complete.

A read that meets another era lists the newest records. Heartbeats, changes and reads of an earlier era confirm nothing and add no endpoint. A configuration replaces another one by its version alone, which is the operators' order. Entries that are missing after the return are kept for the time in which their endpoints write them again.

TestRestoredStore with real nodes fails before in all three cases, with one and two returns and with a dropped history.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -72,7 +72,8 @@
 
 func (s *System) applyConfiguration(tick *modeler.Tick, world *modeler.World, next modeler.Configuration) {
 	current := world.Configuration
-	if current.Loaded() && (next.Version <= current.Version || next.Offset <= current.Offset) {
+	// Versions are the operators' own order. Positions are not: an older version may be in the copy from which the store has come back.
+	if current.Loaded() && next.Version <= current.Version {
 		return
 	}
 	world.Configuration = next
@@ -104,6 +105,12 @@
 	}})
 }
 
+// outdated reports whether a record of an endpoint is of an earlier era than this node's state, as from a read or a node that has not noticed the new one
+// yet. It may be lost, so that no later record would ever replace it.
+func (s *System) outdated(world *modeler.World, position modeler.Position) bool {
+	return position.Era() < world.NextOffsets[modeler.Endpoints].Era()
+}
+
 // advanceOffset reports whether the offset is higher than that of every earlier record of the endpoint, and stores it if so.
 func advanceOffset(world *modeler.World, id modeler.EndpointID, offset modeler.Position) bool {
 	if known, ok := world.EndpointOffsets.Get(id); ok && offset <= known {
@@ -114,7 +121,7 @@
 }
 
 func (s *System) applyEndpointChanged(tick *modeler.Tick, world *modeler.World, e modeler.EndpointChanged) {
-	if !advanceOffset(world, e.Endpoint.ID, e.Offset) {
+	if s.outdated(world, e.Offset) || !advanceOffset(world, e.Endpoint.ID, e.Offset) {
 		return
 	}
 	next := e.Endpoint
@@ -165,7 +172,7 @@
 }
 
 func (s *System) applyEndpointRemoved(tick *modeler.Tick, world *modeler.World, e modeler.EndpointRemoved) {
-	if !advanceOffset(world, e.ID, e.Offset) {
+	if s.outdated(world, e.Offset) || !advanceOffset(world, e.ID, e.Offset) {
 		return
 	}
 	if _, ok := world.Endpoints.Get(e.ID); ok {
@@ -243,6 +250,9 @@
 }
 
 func (s *System) handleRead(tick *modeler.Tick, world *modeler.World, e modeler.TopicRead) {
+	if e.Next.Era() < world.NextOffsets[e.Topic].Era() {
+		return
+	}
 	if e.Topic == modeler.Endpoints {
 		s.confirm(tick, e.ConfirmedAt)
 	}
@@ -272,6 +282,8 @@
 	}
 	previous := s.era
 	if s.era = e.Era; previous > 0 {
+		// Entries that were written after the copy was made are missing until their endpoints write them again, as after an outage.
+		s.recoveredAt = tick.Now
 		tick.Emit(modeler.LogEvent{Name: modeler.LogEventStoreRestored, Fields: []modeler.LogField{
 			{Key: "Era", Value: e.Era}, {Key: "Previous", Value: previous},
 		}})
--- a/internal/fleet/applier/applier_test.go
+++ b/internal/fleet/applier/applier_test.go
@@ -39,6 +39,9 @@
 	return modeler.EndpointChanged{Endpoint: modeler.Endpoint{ID: "e", Service: "s", Address: "a"}, Offset: offset}
 }
 
+// at returns a position.
+func at(era, offset int64) modeler.Position { return modeler.NewPosition(era, offset) }
+
 // TestConfigurationNeverReverts guards against an older configuration replacing a newer one.
 func TestConfigurationNeverReverts(t *testing.T) {
 	tests := []struct {
@@ -50,6 +53,9 @@
 		{"read again", []step{{0, configuration(8, 2)}, {1, configuration(8, 2)}}, 8},
 		{"older record read late", []step{{0, configuration(8, 2)}, {1, configuration(3, 1)}}, 8},
 		{"older version at a higher offset", []step{{0, configuration(8, 2)}, {1, configuration(3, 5)}}, 8},
+		{"older version in a restored store", []step{{0, configuration(8, at(1, 2))}, {1, configuration(3, at(2, 1))}}, 8},
+		{"newer version at an offset that was given out again", []step{{0, configuration(8, at(1, 2))}, {1, configuration(9, at(2, 2))}}, 9},
+		{"newer version known from before the return", []step{{0, configuration(3, at(2, 1))}, {1, configuration(8, at(1, 2))}}, 8},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, run(tt.steps).Configuration.Version, tt.want) })
@@ -191,3 +197,32 @@
 	endpoint, _ := world.Endpoints.Get("e")
 	assert.Assert(t, endpoint.Cold(start.Add(2*time.Second)) && !endpoint.Cold(start.Add(3*time.Second)))
 }
+
+// TestEarlierEra guards against an endpoint that stays for good because its entry was lost when the store came back from a copy, and against a read of
+// before the return that confirms the state of after it.
+func TestEarlierEra(t *testing.T) {
+	read := func(next modeler.Position, at time.Duration) modeler.TopicRead {
+		return modeler.TopicRead{Topic: modeler.Endpoints, Next: next, End: next, ConfirmedAt: start.Add(at)}
+	}
+	tests := []struct {
+		name  string
+		event modeler.Event
+		want  int
+	}{
+		{"entry read before the return", changed(at(1, 30)), 0},
+		{"entry that another node read before the return", peerChange(changed(at(1, 30))), 0},
+		{"entry read after the return", changed(at(2, 21)), 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := run([]step{{0, read(at(1, 25), 0)}, {1, read(at(2, 20), 1)}, {2, tt.event}, {3, read(at(1, 31), 3)}})
+			assert.Equal(t, world.Endpoints.Len(), tt.want)
+			assert.Equal(t, world.NextOffsets[modeler.Endpoints], at(2, 20))
+		})
+	}
+}
+
+func peerChange(e modeler.EndpointChanged) modeler.Event {
+	body := modeler.EndpointChanges{From: e.Offset, Next: e.Offset + 1, Changes: []modeler.EndpointChange{{Endpoint: e.Endpoint, Offset: e.Offset}}}
+	return modeler.PeerReceived{Message: modeler.Message{From: "other", Body: body}}
+}
--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -334,6 +334,53 @@
 	}
 }
 
+// TestRestoredStore guards against a node that never applies a configuration again after the store has come back from a copy, falls back to an older one, or
+// misses that a data centre is taken back.
+func TestRestoredStore(t *testing.T) {
+	with := func(version int, path string) []byte {
+		return []byte(strings.ReplaceAll(string(platformtest.Configuration(version)), "/book/", path))
+	}
+	tests := []struct {
+		name string
+		// returns is the number of times that the store comes back.
+		returns int
+		compact bool
+	}{
+		{"once", 1, false}, {"twice", 2, false}, {"and drops its history", 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t)
+			copied := s.store.Copy()
+			a, b := s.start(t, "n1", "dc-a"), s.start(t, "n2", "dc-b")
+			all := func(path string, code int) func() bool {
+				return func() bool { return a.call(path, "a").code == code && b.call(path, "b").code == code }
+			}
+			for version := range 4 {
+				s.store.Put(platform.TopicOperators, "config", with(version+2, fmt.Sprintf("/added-%d/", version+2)))
+			}
+			s.store.Put(platform.TopicOperators, "evacuate/dc-a", []byte("{}"))
+			waitFor(t, all("/added-5/1", http.StatusOK))
+			for range tt.returns {
+				s.store.Restore(copied)
+			}
+			s.store.Put(platform.TopicOperators, "evacuate/dc-a", []byte("{}"))
+			s.store.Put(platform.TopicOperators, "config", with(5, "/added-5/"))
+			if tt.compact {
+				s.store.Compact(platform.TopicOperators)
+			}
+			assert.Equal(t, a.call("/added-5/1", "a").code, http.StatusOK)
+			s.store.Put(platform.TopicOperators, "config", with(6, "/added-6/"))
+			s.store.Put(platform.TopicOperators, "evacuate/dc-a", nil)
+			waitFor(t, all("/added-6/1", http.StatusOK))
+			waitFor(t, func() bool {
+				before := len(s.endpoints[2].Runs())
+				return a.call("/added-6/1", "a").code == http.StatusOK && len(s.endpoints[2].Runs()) > before
+			})
+		})
+	}
+}
+
 // TestOddEntries guards against an entry of another writer among those of the endpoints that ends the nodes that read it, or keeps them from following later
 // changes.
 func TestOddEntries(t *testing.T) {
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -120,7 +120,7 @@
 }
 
 // read reads the records from request.From on. It lists the newest records instead if that was requested or has not succeeded yet, if the store has
-// deleted records at request.From, or if the next record is too large for a page.
+// deleted records at request.From, if it has come back from a copy since then, or if the next record is too large for a page.
 func (f *Follower) read(ctx context.Context, request modeler.Fetch) error {
 	startedAt := time.Now()
 	if request.Newest || !f.listed.Load() {
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	if page.Next == request.From && page.Next < page.End {
+	if page.End.Era() != request.From.Era() || page.Next == request.From && page.Next < page.End {
 		return f.list(ctx, startedAt)
 	}
 	f.postRecords(page.Records)
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -78,6 +78,11 @@
 			[]result{{page: modeler.Page{Next: 5}}, {page: modeler.Page{Next: 6, Records: []modeler.Record{record("c", 5)}}}},
 			[]modeler.Position{5, 6}, []string{"listed 0", "read 5", "c", "listed 1", "read 6"},
 		},
+		{
+			"lists if the store has come back from a copy", []result{{page: modeler.Page{Next: modeler.NewPosition(1, 6), Records: []modeler.Record{record("b", modeler.NewPosition(1, 5))}, End: modeler.NewPosition(1, 6)}}},
+			[]result{{page: modeler.Page{Next: 5, End: 5}}, {page: modeler.Page{Next: modeler.NewPosition(1, 6), End: modeler.NewPosition(1, 6), Records: []modeler.Record{record("a", 2), record("b", 5)}}}},
+			[]modeler.Position{5, modeler.NewPosition(1, 6)}, []string{"listed 0", "read 5", "a", "b", "listed 2", "read 6"},
+		},
 		{
 			"unreadable record", nil, []result{{page: modeler.Page{Next: 3, Records: []modeler.Record{record("bad", 1), record("a", 2)}}}},
 			[]modeler.Position{3}, []string{"unreadable", "a", "listed 2", "read 3"},
@@ -126,7 +131,7 @@
 	case modeler.TopicListed:
 		return "listed " + string('0'+rune(len(e.Keys)))
 	case modeler.TopicRead:
-		return "read " + string('0'+rune(e.Next))
+		return "read " + string('0'+rune(e.Next.Offset()))
 	case modeler.TopicFailed:
 		return "failed"
 	default:
--- a/internal/fleet/modeler/configuration.go
+++ b/internal/fleet/modeler/configuration.go
@@ -156,7 +156,7 @@
 
 // Configuration is the complete configuration set by the operators. It is immutable; a new one replaces it.
 type Configuration struct {
-	// Version is set by the operators. A configuration replaces another one only if its Version and its Offset are both higher.
+	// Version is set by the operators. A configuration replaces another one only if its Version is higher.
 	Version int64
 	// Offset is the position of the configuration's record in the store.
 	Offset   Position
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -130,6 +130,10 @@
 	if !e.FromPeer {
 		state.startedAt, state.backoff = time.Time{}, 0
 	}
+	if e.Next.Era() < world.NextOffsets[e.Topic].Era() {
+		// The read began before the store came back from a copy.
+		return
+	}
 	if e.Topic == modeler.Endpoints && e.Listed {
 		s.listed = true
 	}
@@ -257,7 +261,8 @@
 			if state.behindSince.IsZero() && state.target > world.NextOffsets[topic] {
 				state.behindSince = tick.Now
 			}
-			if !state.wasRead || known.Age > maxPeerAge || world.NextOffsets[topic] < known.LastChangeEnd {
+			// The end of a topic in another era confirms nothing.
+			if !state.wasRead || known.Age > maxPeerAge || world.NextOffsets[topic] < known.LastChangeEnd || known.End.Era() != world.NextOffsets[topic].Era() {
 				continue
 			}
 			world.NextOffsets[topic] = max(world.NextOffsets[topic], known.End)
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -277,3 +277,43 @@
 		})
 	}
 }
+
+// TestReadPositionsOfEras guards against a node that takes its state for current because another one names a later offset of an earlier era, or the same
+// offset of a later one.
+func TestReadPositionsOfEras(t *testing.T) {
+	position := func(era, end int64) modeler.ReadPosition {
+		return modeler.ReadPosition{End: modeler.NewPosition(era, end), LastChangeEnd: modeler.NewPosition(era, end)}
+	}
+	tests := []struct {
+		name      string
+		position  modeler.ReadPosition
+		confirmed bool
+	}{
+		{"same era", position(2, 9), true}, {"earlier era, later offset", position(1, 30), false}, {"later era, same offset", position(3, 9), false},
+		{"later era, earlier offset", position(3, 4), false},
+	}
+	for _, tt := range tests {
+		for _, topic := range []modeler.Topic{modeler.Operators, modeler.Endpoints} {
+			t.Run(tt.name+", "+topic.String(), func(t *testing.T) {
+				n := newNode("n", "other")
+				n.run(modeler.TopicRead{Topic: topic, Next: modeler.NewPosition(2, 9), ConfirmedAt: start})
+				n.now = n.now.Add(time.Second)
+				both := [2]modeler.ReadPosition{{End: 5, LastChangeEnd: 5}, {End: 5, LastChangeEnd: 5}}
+				both[topic] = tt.position
+				n.run(beat(both[0], both[1]))
+				assert.Equal(t, n.world.ConfirmedAt[topic].After(start), tt.confirmed)
+				assert.Equal(t, n.world.NextOffsets[topic], modeler.NewPosition(2, 9))
+			})
+		}
+	}
+}
+
+// TestReadOfEarlierEra guards against a read that began before the store came back from a copy and confirms the state of after it.
+func TestReadOfEarlierEra(t *testing.T) {
+	n := newNode("n", "other")
+	n.run(modeler.TopicRead{Topic: modeler.Operators, Next: modeler.NewPosition(2, 3), ConfirmedAt: start})
+	later := start.Add(time.Second)
+	n.run(modeler.TopicRead{Topic: modeler.Operators, Next: modeler.NewPosition(1, 30), End: modeler.NewPosition(1, 30), ConfirmedAt: later, Records: []modeler.Record{configuration(modeler.NewPosition(1, 29), 3)}})
+	assert.Equal(t, n.world.ConfirmedAt[modeler.Operators], start)
+	assert.Equal(t, n.world.NextOffsets[modeler.Operators], modeler.NewPosition(2, 3))
+}
