Hold records of a copy back that may be older than what is known

Callers would reach endpoints that have left, and data centres that operators have taken out, after the store has come back from a copy that still lists them as they were.

Cause: the first listing of a new era holds the records of the copy beside those that were written after the return, and all of them have later positions than what the node knows.

Change: the copy is the start of the earlier era's records. A listed record with a lower offset than the known one of its key may be of the copy. It does not replace what is known until its key is written again, or for 5 s (endpoints: their entries have expired by then) or 3 s (operators). An entry of the same process is merged: one that drains goes on to drain, and a cold one stays cold. A node sends other nodes only what it has applied.

--- a/internal/fleet/applier/applier.go
+++ b/internal/fleet/applier/applier.go
@@ -23,6 +23,7 @@
 type System struct {
 	// dataCentreOffsets holds the highest offset of each data centre's records.
 	dataCentreOffsets map[modeler.DataCentreID]modeler.Position
+	restores          restores
 	// era is the highest era of the store that this node has seen, and zero before the first one.
 	era int64
 	// unavailable is set while the store responds to no node, as shown by a failed call that started at failedAt.
@@ -36,7 +37,9 @@
 }
 
 // New returns a System.
-func New() *System { return &System{dataCentreOffsets: map[modeler.DataCentreID]modeler.Position{}} }
+func New() *System {
+	return &System{dataCentreOffsets: map[modeler.DataCentreID]modeler.Position{}, restores: newRestores()}
+}
 
 // Run implements modeler.System.
 func (s *System) Run(tick *modeler.Tick, world *modeler.World) {
@@ -57,6 +60,8 @@
 			if body, ok := e.Message.Body.(modeler.EndpointChanges); ok {
 				s.applyPeerChanges(tick, world, body)
 			}
+		case modeler.ListingBegan:
+			s.restores.beginListing(tick, world, e)
 		case modeler.TopicListed:
 			s.applyListing(tick, world, e)
 		case modeler.TopicRead:
@@ -67,6 +72,7 @@
 			s.handleFailure(tick, world, e)
 		}
 	}
+	s.applyHeld(tick, world)
 	s.expireMissing(tick, world)
 }
 
@@ -84,11 +90,17 @@
 }
 
 func (s *System) applyDataCentre(tick *modeler.Tick, world *modeler.World, e modeler.DataCentreChanged) {
-	if known, ok := s.dataCentreOffsets[e.DataCentre]; ok && e.Offset <= known {
+	known, ok := s.dataCentreOffsets[e.DataCentre]
+	if ok && e.Offset <= known {
 		return
 	}
-	s.dataCentreOffsets[e.DataCentre] = e.Offset
 	_, wasOut := world.OutDataCentres.Get(e.DataCentre)
+	if ok && wasOut != e.Out && s.restores.topics[modeler.Operators].isCopy(tick.Now, e.Offset, known) {
+		s.holdDataCentre(tick, e, known)
+		return
+	}
+	delete(s.restores.dataCentres, e.DataCentre)
+	s.dataCentreOffsets[e.DataCentre] = e.Offset
 	if e.Out {
 		world.OutDataCentres.Put(e.DataCentre, e.Offset)
 	} else {
@@ -111,17 +123,18 @@
 	return position.Era() < world.NextOffsets[modeler.Endpoints].Era()
 }
 
-// advanceOffset reports whether the offset is higher than that of every earlier record of the endpoint, and stores it if so.
-func advanceOffset(world *modeler.World, id modeler.EndpointID, offset modeler.Position) bool {
+// advanceOffset reports whether the offset is higher than that of every earlier record of the endpoint. It then stores it and forgets a held record.
+func (s *System) advanceOffset(world *modeler.World, id modeler.EndpointID, offset modeler.Position) bool {
 	if known, ok := world.EndpointOffsets.Get(id); ok && offset <= known {
 		return false
 	}
 	world.EndpointOffsets.Put(id, offset)
+	delete(s.restores.endpoints, id)
 	return true
 }
 
 func (s *System) applyEndpointChanged(tick *modeler.Tick, world *modeler.World, e modeler.EndpointChanged) {
-	if s.outdated(world, e.Offset) || !advanceOffset(world, e.Endpoint.ID, e.Offset) {
+	if s.outdated(world, e.Offset) {
 		return
 	}
 	next := e.Endpoint
@@ -129,6 +142,17 @@
 		next.ColdUntil = tick.Now.Add(e.ColdFor)
 	}
 	current, known := world.Endpoints.Get(next.ID)
+	if offset, ok := world.EndpointOffsets.Get(next.ID); ok && e.Offset > offset && s.restores.topics[modeler.Endpoints].isCopy(tick.Now, e.Offset, offset) {
+		merged, ok := mergeCopy(current, next)
+		if !known || !ok {
+			s.holdEndpoint(tick, next.ID, e, e.Offset, offset)
+			return
+		}
+		next = merged
+	}
+	if !s.advanceOffset(world, next.ID, e.Offset) {
+		return
+	}
 	next.ChangeOffset = current.ChangeOffset
 	if !known || current.Differs(next) {
 		next.ChangeOffset = e.Offset
@@ -165,6 +189,41 @@
 	}
 }
 
+// holdEndpoint keeps a record that may be of the copy from which the store has come back until the hold time has passed.
+func (s *System) holdEndpoint(tick *modeler.Tick, id modeler.EndpointID, event modeler.Event, position, known modeler.Position) {
+	s.restores.endpoints[id] = event
+	logHeld(tick, modeler.Endpoints, string(id), position, known)
+}
+
+func (s *System) holdDataCentre(tick *modeler.Tick, event modeler.DataCentreChanged, known modeler.Position) {
+	if _, held := s.restores.dataCentres[event.DataCentre]; !held {
+		logHeld(tick, modeler.Operators, string(event.DataCentre), event.Offset, known)
+	}
+	s.restores.dataCentres[event.DataCentre] = event
+}
+
+func logHeld(tick *modeler.Tick, topic modeler.Topic, key string, position, known modeler.Position) {
+	tick.Emit(modeler.LogEvent{Name: modeler.LogEventRecordHeld, Fields: []modeler.LogField{
+		{Key: "Topic", Value: topic.String()}, {Key: "Key", Value: key}, {Key: "Offset", Value: position}, {Key: "Known", Value: known},
+	}})
+}
+
+// applyHeld applies the held records whose hold time has passed: nobody has written them again, so that the store's word counts.
+func (s *System) applyHeld(tick *modeler.Tick, world *modeler.World) {
+	endpoints, dataCentres := s.restores.due(tick)
+	for _, event := range endpoints {
+		switch e := event.(type) {
+		case modeler.EndpointChanged:
+			s.applyEndpointChanged(tick, world, e)
+		case modeler.EndpointRemoved:
+			s.applyEndpointRemoved(tick, world, e)
+		}
+	}
+	for _, e := range dataCentres {
+		s.applyDataCentre(tick, world, e)
+	}
+}
+
 // deleteEndpointState deletes the health and the assigned prefill work of an endpoint that was removed or restarted.
 func deleteEndpointState(world *modeler.World, id modeler.EndpointID) {
 	world.Health.Delete(id)
@@ -172,7 +231,14 @@
 }
 
 func (s *System) applyEndpointRemoved(tick *modeler.Tick, world *modeler.World, e modeler.EndpointRemoved) {
-	if s.outdated(world, e.Offset) || !advanceOffset(world, e.ID, e.Offset) {
+	if s.outdated(world, e.Offset) {
+		return
+	}
+	if offset, ok := world.EndpointOffsets.Get(e.ID); ok && e.Offset > offset && s.restores.topics[modeler.Endpoints].isCopy(tick.Now, e.Offset, offset) {
+		s.holdEndpoint(tick, e.ID, e, e.Offset, offset)
+		return
+	}
+	if !s.advanceOffset(world, e.ID, e.Offset) {
 		return
 	}
 	if _, ok := world.Endpoints.Get(e.ID); ok {
@@ -240,7 +306,13 @@
 		}
 	case modeler.Operators:
 		for id, offset := range world.OutDataCentres.All() {
-			if !e.Keys[string(id)] && offset < e.End {
+			if e.Keys[string(id)] || offset >= e.End {
+				continue
+			}
+			if r := s.restores.topics[modeler.Operators]; r.concerns(tick.Now, offset) {
+				// Any record of the new era is later than this position.
+				s.holdDataCentre(tick, modeler.DataCentreChanged{DataCentre: id, Offset: modeler.NewPosition(r.end.Era(), 0)}, offset)
+			} else {
 				world.OutDataCentres.Delete(id)
 				logDataCentre(tick, id, false, world.NextOffsets[modeler.Operators])
 			}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -213,7 +213,7 @@
 	return slices.DeleteFunc(dropped, func(e modeler.EndpointChanged) bool { return e.Offset < newest[e.Endpoint.ID] })
 }
 
-// postListing posts the newest records of all keys, then the entries that were removed last, then TopicListed, then read with its topic, next offset and
+// postListing posts ListingBegan, then the newest records of all keys, then the entries that were removed last, then TopicListed, then read with its topic, next offset and
 // records set.
 func (f *Follower) postListing(page modeler.Page, read modeler.TopicRead, dropped ...modeler.EndpointChanged) {
 	keys := map[string]bool{}
@@ -222,6 +222,7 @@
 			keys[key] = true
 		}
 	}
+	f.Post(modeler.ListingBegan{Topic: f.Source.Topic, End: page.End})
 	f.postRecords(page.Records)
 	if len(dropped) > 0 {
 		f.Post(modeler.EndpointsDropped{Entries: dropped})
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -105,6 +105,9 @@
 			var f *follower.Follower
 			next := modeler.Position(0)
 			post := func(e modeler.Event) {
+				if _, ok := e.(modeler.ListingBegan); ok {
+					return
+				}
 				got = append(got, describe(e))
 				switch e := e.(type) {
 				case modeler.TopicRead:
@@ -132,6 +135,8 @@
 		return "listed " + string('0'+rune(len(e.Keys)))
 	case modeler.TopicRead:
 		return "read " + string('0'+rune(e.Next.Offset()))
+	case modeler.ListingBegan:
+		return "listing"
 	case modeler.TopicFailed:
 		return "failed"
 	default:
@@ -178,7 +183,7 @@
 		f.Deliver(modeler.Deliver{Page: modeler.Page{Records: []modeler.Record{record("a", 7)}, Next: 8}, ConfirmedAt: time.Unix(9, 0)})
 	}()
 	assert.ErrorIs(t, f.Run(ctx), context.Canceled)
-	assert.DeepEqual(t, got[:3], []string{"a", "listed 1", "read 8"})
+	assert.DeepEqual(t, got[:4], []string{"listing", "a", "listed 1", "read 8"})
 	assert.DeepEqual(t, read, modeler.TopicRead{
 		Topic: modeler.Operators, Next: 8, ConfirmedAt: time.Unix(9, 0), Records: []modeler.Record{record("a", 7)}, Listed: true, FromPeer: true,
 	})
--- a/internal/fleet/modeler/endpoint.go
+++ b/internal/fleet/modeler/endpoint.go
@@ -31,6 +31,12 @@
 	return e
 }
 
+// WithColdUntil returns a copy of the endpoint with another end of its cold start.
+func (e Endpoint) WithColdUntil(until time.Time) Endpoint {
+	e.ColdUntil = until
+	return e
+}
+
 // WithMissing returns a copy of the endpoint with MissingSince set to the time at which its entry disappeared, or to zero once the entry
 // is back.
 func (e Endpoint) WithMissing(since time.Time) Endpoint {
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -47,6 +47,11 @@
 	NodeRegistered struct{ Node Node }
 	// SelfRegistered reports that the registration of this node was written to the store.
 	SelfRegistered struct{ Rank Position }
+	// ListingBegan begins a listing of a topic, before the events for the newest record of each key. End is the end of the topic when the listing began.
+	ListingBegan struct {
+		Topic Topic
+		End   Position
+	}
 	// TopicListed ends a listing of a topic, after the events for the newest record of each key. A key that is not in Keys was deleted,
 	// unless it has a record with an offset of End or higher.
 	TopicListed struct {
@@ -132,6 +137,7 @@
 func (EndpointsDropped) event()     {}
 func (NodeRegistered) event()       {}
 func (SelfRegistered) event()       {}
+func (ListingBegan) event()         {}
 func (TopicListed) event()          {}
 func (TopicRead) event()            {}
 func (TopicFailed) event()          {}
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -61,6 +61,10 @@
 	LogEventStoreRegained LogEventName = "StoreRegained"
 	// LogEventStoreRestored: Era, Previous.
 	LogEventStoreRestored LogEventName = "StoreRestored"
+	// LogEventTopicRestored: Topic, End, Before.
+	LogEventTopicRestored LogEventName = "TopicRestored"
+	// LogEventRecordHeld: Topic, Key, Offset, Known.
+	LogEventRecordHeld LogEventName = "RecordHeld"
 	// LogEventOperatorsBehind: Next, Target, For, Failures, Reason.
 	LogEventOperatorsBehind LogEventName = "OperatorsBehind"
 	// LogEventOperatorsCaughtUp: Next, After, Failures.
@@ -98,7 +102,8 @@
 	LogEventNodeRegistered, LogEventNodeTimedOut, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
 	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
-	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventStoreRestored, LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateUnusable,
+	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventStoreRestored, LogEventTopicRestored, LogEventRecordHeld,
+	LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateUnusable,
 	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAttemptRepeated, LogEventRequestEnded,
 	LogEventRequestRejected,
 }
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -175,12 +175,18 @@
 	state.next = now.Add(state.backoff)
 }
 
-// collectChange collects a change for other nodes. Entries that repeat the known state are not sent.
+// collectChange collects a change for other nodes. Entries that repeat the known state or that the applier has not applied are not sent.
 func (s *System) collectChange(world *modeler.World, change modeler.EndpointChange) {
-	known, ok := world.Endpoints.Get(change.Endpoint.ID)
-	if !change.Removed && ok && !s.isNew(known, change) {
+	if applied, _ := world.EndpointOffsets.Get(change.Endpoint.ID); applied != change.Offset {
 		return
 	}
+	known, ok := world.Endpoints.Get(change.Endpoint.ID)
+	if !change.Removed && ok {
+		if !s.isNew(known, change) {
+			return
+		}
+		change.Endpoint = known
+	}
 	s.changes = append(s.changes, change)
 	s.lastChangeEnd = max(s.lastChangeEnd, change.Offset+1)
 }
--- a/internal/fleet/poller/poller_test.go
+++ b/internal/fleet/poller/poller_test.go
@@ -317,3 +317,37 @@
 	assert.Equal(t, n.world.ConfirmedAt[modeler.Operators], start)
 	assert.Equal(t, n.world.NextOffsets[modeler.Operators], modeler.NewPosition(2, 3))
 }
+
+// TestCopiedChanges guards against the entries of a copy that are sent to other nodes as if their endpoints had just written them.
+func TestCopiedChanges(t *testing.T) {
+	at := modeler.NewPosition
+	known := modeler.Endpoint{ID: "e", Service: "s", Address: "a"}
+	copied := modeler.EndpointChanged{Endpoint: known, ColdFor: time.Second, Offset: at(2, 7)}
+	tests := []struct {
+		name   string
+		before modeler.Event
+		want   []modeler.EndpointChange
+	}{
+		{"the endpoint has left", modeler.EndpointRemoved{ID: "e", Offset: at(1, 30)}, nil},
+		{
+			"the endpoint drains", modeler.EndpointChanged{Endpoint: known.WithDraining(), Offset: at(1, 30)},
+			[]modeler.EndpointChange{{Endpoint: known.WithDraining(), ColdFor: time.Second, Offset: at(2, 7)}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", "n")
+			n.run(tt.before, modeler.TopicRead{Topic: modeler.Endpoints, Next: at(1, 40), End: at(1, 40), ConfirmedAt: start})
+			var got []modeler.EndpointChange
+			for _, effect := range n.run(modeler.ListingBegan{Topic: modeler.Endpoints, End: at(2, 20)}, copied) {
+				if send, ok := effect.(modeler.Send); ok {
+					got = append(got, send.Message.Body.(modeler.EndpointChanges).Changes...)
+				}
+			}
+			for i := range got {
+				got[i].Endpoint.ChangeOffset, got[i].Endpoint.ColdUntil = 0, time.Time{}
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
