Let nodes that know a newer configuration than the store tell the others

A node that starts after the store has come back from a copy would answer by the configuration of the copy, and pass it on.

Cause: the records that nodes send each other were those of the last listing, and who lacks some was told by positions alone. In a new era the listing is older than what other nodes know.

Change: records carry the operators' version. A listing does not replace a record with a later version. Heartbeats and pieces name the version, so that a node with an older one counts as behind and is sent the state, by the node that reads for all or, if that one lacks it, by the hubs.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -359,7 +359,7 @@
 // beatMessages returns a heartbeat with the requests of this node that are running, and with the suspects for a new coordinator. If many requests are running,
 // it returns several heartbeats, each with a part of them.
 func (s *System) beatMessages(now time.Time, world *modeler.World) []modeler.Message {
-	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll, Holds: world.HeldState}
+	body := modeler.Beat{Node: announced(world), Coordinates: world.Coordinates(), ReadPositions: world.ReadPositions, ReadsForAll: world.ReadsForAll, Holds: world.HeldState, HoldsVersion: world.HeldVersion}
 	if now.Sub(world.CoordinatorSince) < handoverTime {
 		body.Suspects, _ = suspects(now, world)
 		body.Terms = reportedTerms(now, world)
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -233,13 +233,16 @@
 	f.Post(read)
 }
 
-// postRecords posts the event of each record and reports records that cannot be decoded.
+// postRecords posts the event of each record, sets the version of records that have one, and reports records that cannot be decoded.
 func (f *Follower) postRecords(records []modeler.Record) {
-	for _, record := range records {
+	for i, record := range records {
 		event, err := f.Source.Decode(record)
 		if err != nil {
 			f.OnUnreadable(f.Source.Topic, record, err)
 		}
+		if e, ok := event.(modeler.ConfigurationChanged); ok {
+			records[i].Version = e.Configuration.Version
+		}
 		if event != nil {
 			f.Post(event)
 		}
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -40,7 +40,7 @@
 		p := body.StatePiece
 		message.Body = modeler.StatePiece{
 			State: modeler.StateID(p.GetState()), Base: modeler.StateID(p.GetBase()), Next: modeler.Position(p.GetNext()), Age: microseconds(p.GetAge()),
-			Index: int(p.GetIndex()), Count: int(p.GetCount()), Data: p.GetData(),
+			Version: p.GetVersion(), Index: int(p.GetIndex()), Count: int(p.GetCount()), Data: p.GetData(),
 		}
 	case *Datagram_TermsReport:
 		message.Body = modeler.TermsReport{Terms: decodeTerms(body.TermsReport.GetTerms())}
@@ -107,7 +107,7 @@
 func decodeBeat(now time.Time, b *Beat) modeler.Beat {
 	beat := modeler.Beat{
 		Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), ReadsForAll: b.GetReadsForAll(), Suspects: decodeSuspects(b.GetSuspects()),
-		Terms: decodeTerms(b.GetTerms()), Holds: modeler.StateID(b.GetHolds()), Part: modeler.RequestPart{Index: int(b.GetPart()), Count: int(b.GetParts())},
+		Terms: decodeTerms(b.GetTerms()), Holds: modeler.StateID(b.GetHolds()), HoldsVersion: b.GetHoldsVersion(), Part: modeler.RequestPart{Index: int(b.GetPart()), Count: int(b.GetParts())},
 	}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.ReadPositions) {
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -34,7 +34,7 @@
 	case modeler.StatePiece:
 		d.Body = &Datagram_StatePiece{StatePiece: &StatePiece{
 			State: uint64(body.State), Base: uint64(body.Base), Next: int64(body.Next), Age: body.Age.Microseconds(),
-			Index: uint32(body.Index), Count: uint32(body.Count), Data: body.Data,
+			Version: body.Version, Index: uint32(body.Index), Count: uint32(body.Count), Data: body.Data,
 		}}
 	case modeler.TermsReport:
 		d.Body = &Datagram_TermsReport{TermsReport: &TermsReport{Terms: encodeTerms(body.Terms)}}
@@ -90,7 +90,7 @@
 func encodeBeat(now time.Time, body modeler.Beat) *Beat {
 	beat := &Beat{
 		Node: encodeNode(body.Node), Coordinates: body.Coordinates, ReadsForAll: body.ReadsForAll, Suspects: encodeSuspects(body.Suspects),
-		Terms: encodeTerms(body.Terms), Holds: uint64(body.Holds), Part: uint32(body.Part.Index), Parts: uint32(body.Part.Count),
+		Terms: encodeTerms(body.Terms), Holds: uint64(body.Holds), HoldsVersion: body.HoldsVersion, Part: uint32(body.Part.Index), Parts: uint32(body.Part.Count),
 	}
 	for _, k := range body.ReadPositions {
 		beat.Known = append(beat.Known, &Known{End: int64(k.End), Material: int64(k.LastChangeEnd), Age: k.Age.Microseconds()})
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -59,7 +59,7 @@
 		{"beat", modeler.Beat{
 			Node: node(), Coordinates: true, Running: []modeler.Assignment{assignment, assignment.WithFirstEvent(now)}, ReadPositions: [2]modeler.ReadPosition{{End: 4, LastChangeEnd: 3, Age: time.Second}, {End: 9}},
 			ReadsForAll: true, Suspects: []modeler.Suspect{{Fingerprint: 3, Count: 2, SharedPart: true, Requests: []modeler.Fingerprint{1, 2}}},
-			Terms: []modeler.ReportedTerms{{Endpoint: "e", Leaving: true}}, Holds: 1 << 63, Part: modeler.RequestPart{Index: 1, Count: 3},
+			Terms: []modeler.ReportedTerms{{Endpoint: "e", Leaving: true}}, Holds: 1 << 63, HoldsVersion: 8, Part: modeler.RequestPart{Index: 1, Count: 3},
 		}},
 		{"endpoint changes", modeler.EndpointChanges{From: 3, Next: 9, Changes: []modeler.EndpointChange{
 			{
@@ -68,7 +68,7 @@
 			},
 			{Endpoint: modeler.Endpoint{ID: "f"}, Offset: 5, Removed: true, Unreadable: true},
 		}}},
-		{"state piece", modeler.StatePiece{State: 1 << 63, Base: 7, Next: 9, Age: time.Second, Index: 2, Count: 3, Data: []byte("v")}},
+		{"state piece", modeler.StatePiece{State: 1 << 63, Base: 7, Next: 9, Version: 8, Age: time.Second, Index: 2, Count: 3, Data: []byte("v")}},
 		{"terms", modeler.TermsReport{Terms: []modeler.ReportedTerms{{Endpoint: "e", StartUnixMilli: 7, Limited: true, Limit: 2.5, Age: time.Second}}}},
 		{"digest", modeler.Digest{
 			SuspectsPartial: true,
--- a/internal/fleet/modeler/message.go
+++ b/internal/fleet/modeler/message.go
@@ -60,6 +60,8 @@
 		ReadsForAll bool
 		// Holds identifies the operators' records that the sender holds.
 		Holds StateID
+		// HoldsVersion is the Version of that state.
+		HoldsVersion int64
 		// Suspects holds the fingerprints that the sender knows, and Terms those of endpoints, while the coordinator is new.
 		Suspects []Suspect
 		Terms    []ReportedTerms
@@ -68,12 +70,13 @@
 	StatePiece struct {
 		State StateID
 		// Base identifies the records that the receiver must hold to unpack the state. It is zero if the state is packed as a whole.
-		Base  StateID
-		Next  Position
-		Age   time.Duration
-		Index int
-		Count int
-		Data  []byte
+		Base    StateID
+		Next    Position
+		Version int64
+		Age     time.Duration
+		Index   int
+		Count   int
+		Data    []byte
 	}
 	// EndpointChanges distributes all changes of endpoints between the offsets From (inclusive) and Next (exclusive).
 	EndpointChanges struct {
--- a/internal/fleet/modeler/operator_state.go
+++ b/internal/fleet/modeler/operator_state.go
@@ -19,6 +19,8 @@
 	Records []Record
 	// Next is the offset before which all records are known.
 	Next Position
+	// Version is the highest Version of the records.
+	Version int64
 }
 
 // NewOperatorState returns the state with the given records, which it sorts.
@@ -29,7 +31,9 @@
 	}
 	hash := xxhash.New()
 	var buffer []byte
+	var version int64
 	for _, r := range records {
+		version = max(version, r.Version)
 		buffer = binary.AppendVarint(buffer[:0], int64(r.Offset))
 		buffer = binary.AppendUvarint(buffer, uint64(len(r.Key)))
 		buffer = append(buffer, r.Key...)
@@ -38,7 +42,7 @@
 		_, _ = hash.Write(r.Value)
 	}
 	_, _ = hash.Write(binary.AppendVarint(buffer[:0], int64(next)))
-	return OperatorState{ID: StateID(max(hash.Sum64(), 1)), Records: records, Next: next}
+	return OperatorState{ID: StateID(max(hash.Sum64(), 1)), Records: records, Next: next, Version: version}
 }
 
 // Size returns the size of the keys and values in bytes.
--- a/internal/fleet/modeler/store.go
+++ b/internal/fleet/modeler/store.go
@@ -7,6 +7,9 @@
 	Key    string
 	Value  []byte
 	Offset Position
+	// Version is the operators' own order of the records of a key; zero if they give none. Unlike a position, it holds when the store comes back from a
+	// copy. The follower sets it.
+	Version int64
 }
 
 // Page is the result of one read from the store.
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -75,6 +75,8 @@
 	OperatorsBehind bool
 	// HeldState identifies the operators' records that this node holds, as sent to other nodes.
 	HeldState StateID
+	// HeldVersion is the Version of these records.
+	HeldVersion int64
 	// IsHub is set if this node is one of the hubs, see package elector.
 	IsHub bool
 	// tickedAt is when the current tick began. resumedAt is when the first tick after the last pause of this process began, and pausedAt when the
--- a/internal/fleet/packer/packer.go
+++ b/internal/fleet/packer/packer.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	piece := modeler.StatePiece{
-		State: effect.State.ID, Base: effect.Base.ID, Next: effect.State.Next, Count: (len(packed) + pieceBytes - 1) / pieceBytes,
+		State: effect.State.ID, Base: effect.Base.ID, Next: effect.State.Next, Version: effect.State.Version, Count: (len(packed) + pieceBytes - 1) / pieceBytes,
 	}
 	for data := range slices.Chunk(packed, pieceBytes) {
 		if err := p.limiter.WaitN(ctx, len(data)); err != nil {
--- a/internal/fleet/poller/operators.go
+++ b/internal/fleet/poller/operators.go
@@ -48,25 +48,47 @@
 	return operatorRecords{records: map[string]modeler.Record{}, peers: map[modeler.NodeID]peerState{}}
 }
 
-// update applies the records of a read. Reads that are not newer than the known records are ignored. keepEarlier is set if the state before is needed to
-// send differences from it.
+// update applies the records of a read. A read that is not newer than the known records adds only those with a later version, which this node may lack if the
+// store came back from a copy before it started. keepEarlier is set if the state before is needed to send differences from it.
 func (o *operatorRecords) update(read modeler.TopicRead, keepEarlier bool) {
-	if read.Next <= o.state.Next {
+	newer := read.Next > o.state.Next
+	changed := newer && len(read.Records) > 0
+	if newer && read.Listed {
+		o.replace(read.Records)
+	} else {
+		for _, record := range read.Records {
+			known := o.records[record.Key]
+			switch {
+			case record.Version > known.Version, newer && record.Version == known.Version:
+				o.records[record.Key] = record
+				changed = true
+			}
+			if newer && record.Value == nil && known.Version == 0 {
+				delete(o.records, record.Key)
+			}
+		}
+	}
+	if !newer && !changed {
 		return
 	}
-	if read.Listed {
-		clear(o.records)
+	previous := o.state
+	o.state = modeler.NewOperatorState(slices.Collect(maps.Values(o.records)), max(read.Next, previous.Next))
+	o.changed = o.changed || changed
+	o.keep(previous, keepEarlier)
+}
+
+// replace replaces the records by those of a listing, except those with a later version: the store may have come back from a copy.
+func (o *operatorRecords) replace(records []modeler.Record) {
+	listed := make(map[string]modeler.Record, len(records))
+	for _, record := range records {
+		listed[record.Key] = record
 	}
-	for _, record := range read.Records {
-		o.records[record.Key] = record
-		if record.Value == nil {
-			delete(o.records, record.Key)
+	for key, known := range o.records {
+		if known.Version > listed[key].Version {
+			listed[key] = known
 		}
 	}
-	previous := o.state
-	o.state = modeler.NewOperatorState(slices.Collect(maps.Values(o.records)), read.Next)
-	o.changed = o.changed || len(read.Records) > 0
-	o.keep(previous, keepEarlier)
+	o.records = listed
 }
 
 // keep adds a state to the earlier ones and drops those that exceed the bounds.
@@ -123,13 +145,21 @@
 	}
 }
 
-// answerHeartbeat sends the operators' records to a node whose heartbeat says that it lacks some.
+// answerHeartbeat sends the operators' records to a node whose heartbeat says that it lacks some, by its position or by the version that it holds.
 func (s *System) answerHeartbeat(tick *modeler.Tick, world *modeler.World, from modeler.NodeID, beat modeler.Beat) {
 	peer := s.operators.peers[from]
 	peer.holds = beat.Holds
 	s.operators.peers[from] = peer
 	node, ok := world.Nodes.Get(from)
-	if !ok || !sends(world) || beat.ReadPositions[modeler.Operators].End >= s.operators.state.Next || peer.current(tick.Now) == s.operators.state.ID {
+	if !ok || peer.current(tick.Now) == s.operators.state.ID {
+		return
+	}
+	lacksVersion := beat.Holds != 0 && beat.HoldsVersion < s.operators.state.Version
+	switch {
+	case sends(world) && (lacksVersion || beat.ReadPositions[modeler.Operators].End < s.operators.state.Next):
+	case world.IsHub && lacksVersion && (beat.Coordinates || beat.ReadsForAll):
+		// The node that sends the records to all lacks some itself, and cannot read them as long as the operators have not written them again.
+	default:
 		return
 	}
 	s.sendState(tick, world, node, s.operators.base(beat.Holds))
--- a/internal/fleet/poller/operators_test.go
+++ b/internal/fleet/poller/operators_test.go
@@ -208,3 +208,113 @@
 	}
 	assert.Assert(t, calls >= 10 && calls <= 20, "%d calls in 10 s", calls)
 }
+
+// version returns a configuration with a version.
+func version(v int64, position modeler.Position) modeler.Record {
+	return modeler.Record{Key: "configuration", Value: []byte{byte(v)}, Offset: position, Version: v}
+}
+
+// TestRecordsAfterReturn guards against the records of a copy that replace the newest configuration in what a node sends to others, and against one that is
+// never replaced.
+func TestRecordsAfterReturn(t *testing.T) {
+	at := modeler.NewPosition
+	zone := func(position modeler.Position) modeler.Record {
+		return modeler.Record{Key: "zone", Value: []byte("v"), Offset: position}
+	}
+	known := []modeler.Record{version(13, at(1, 3)), zone(at(1, 2))}
+	listing := func(next modeler.Position, records ...modeler.Record) modeler.TopicRead {
+		return modeler.TopicRead{Topic: modeler.Operators, Next: next, End: next, Records: records, Listed: true}
+	}
+	read := func(next modeler.Position, records ...modeler.Record) modeler.TopicRead {
+		return modeler.TopicRead{Topic: modeler.Operators, Next: next, End: next, Records: records}
+	}
+	tests := []struct {
+		name   string
+		events []modeler.Event
+		want   modeler.OperatorState
+	}{
+		{"older version listed", []modeler.Event{listing(at(2, 2), version(10, at(2, 1)))}, modeler.NewOperatorState([]modeler.Record{version(13, at(1, 3))}, at(2, 2))},
+		{"no configuration listed", []modeler.Event{listing(at(2, 1), zone(at(2, 0)))}, modeler.NewOperatorState([]modeler.Record{version(13, at(1, 3)), zone(at(2, 0))}, at(2, 1))},
+		{"same version listed", []modeler.Event{listing(at(2, 3), version(13, at(2, 2)))}, modeler.NewOperatorState([]modeler.Record{version(13, at(2, 2))}, at(2, 3))},
+		{
+			"same version written again", []modeler.Event{listing(at(2, 2), version(10, at(2, 1))), read(at(2, 3), version(13, at(2, 2)))},
+			modeler.NewOperatorState([]modeler.Record{version(13, at(2, 2))}, at(2, 3)),
+		},
+		{
+			"newer version at an offset that was given out again", []modeler.Event{listing(at(2, 2), version(10, at(2, 1))), read(at(2, 4), version(13, at(2, 2)), version(16, at(2, 3)))},
+			modeler.NewOperatorState([]modeler.Record{version(16, at(2, 3))}, at(2, 4)),
+		},
+		{
+			"newer version of the earlier era, from another node", []modeler.Event{listing(at(2, 2), version(10, at(2, 1))), listing(at(1, 6), version(14, at(1, 5)))},
+			modeler.NewOperatorState([]modeler.Record{version(14, at(1, 5))}, at(2, 2)),
+		},
+		{"older read", []modeler.Event{read(at(1, 3), version(10, at(1, 1)))}, modeler.NewOperatorState(known, at(1, 4))},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", "n")
+			n.run(listing(at(1, 4), known...))
+			for _, e := range tt.events {
+				n.run(e)
+			}
+			assert.Equal(t, n.world.HeldState, tt.want.ID)
+			assert.Equal(t, n.world.HeldVersion, tt.want.Version)
+		})
+	}
+}
+
+// TestVersionSpreads guards against a node that starts after the store came back from a copy and believes the copy's configuration, although other nodes know
+// a newer one.
+func TestVersionSpreads(t *testing.T) {
+	at := modeler.NewPosition
+	heartbeat := func(held modeler.OperatorState, coordinates bool) modeler.Event {
+		position := modeler.ReadPosition{End: held.Next, LastChangeEnd: held.Next}
+		return modeler.PeerReceived{Message: modeler.Message{From: "other", Body: modeler.Beat{
+			Holds: held.ID, HoldsVersion: held.Version, Coordinates: coordinates, ReadPositions: [2]modeler.ReadPosition{position, {}},
+		}}}
+	}
+	copied := modeler.NewOperatorState([]modeler.Record{version(10, at(2, 1))}, at(2, 2))
+	newest := modeler.NewOperatorState([]modeler.Record{version(13, at(1, 3))}, at(2, 2))
+	tests := []struct {
+		name        string
+		coordinator modeler.NodeID
+		isHub       bool
+		from        modeler.Event
+		sent        int
+	}{
+		{"the coordinator to a new node", "n", false, heartbeat(copied, false), 1}, {"the coordinator to one that has it", "n", false, heartbeat(newest, false), 0},
+		{"a hub to a new coordinator", "other", true, heartbeat(copied, true), 1}, {"a hub to a new node", "other", true, heartbeat(copied, false), 0},
+		{"any node to a new coordinator", "other", false, heartbeat(copied, true), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNode("n", tt.coordinator)
+			n.world.IsHub = tt.isHub
+			n.run(modeler.TopicRead{Topic: modeler.Operators, Next: newest.Next, End: newest.Next, Records: newest.Records, Listed: true, FromPeer: true})
+			n.now = n.now.Add(1100 * time.Millisecond)
+			n.run()
+			sent := sentStates(n.run(tt.from))
+			assert.Equal(t, len(sent), tt.sent)
+			for _, s := range sent {
+				assert.Equal(t, s.State.ID, newest.ID)
+			}
+		})
+	}
+	t.Run("receiver", func(t *testing.T) {
+		n := newNode("n", "other")
+		n.run(modeler.TopicRead{Topic: modeler.Operators, Next: copied.Next, End: copied.Next, Records: copied.Records, Listed: true})
+		n.run(heartbeat(newest, true))
+		assert.Assert(t, n.world.OperatorsBehind)
+		piece := modeler.StatePiece{State: newest.ID, Next: newest.Next, Version: newest.Version, Count: 1, Data: []byte{1}}
+		unpacks := 0
+		for _, effect := range n.run(modeler.PeerReceived{Message: modeler.Message{From: "other", Body: piece}}) {
+			if _, ok := effect.(modeler.UnpackState); ok {
+				unpacks++
+			}
+		}
+		assert.Equal(t, unpacks, 1)
+		n.run(modeler.TopicRead{Topic: modeler.Operators, Next: newest.Next, End: newest.Next, Records: newest.Records, Listed: true, FromPeer: true})
+		assert.Equal(t, n.world.HeldState, newest.ID)
+		assert.Assert(t, !n.world.OperatorsBehind)
+	})
+}
--- a/internal/fleet/poller/pieces.go
+++ b/internal/fleet/poller/pieces.go
@@ -55,7 +55,8 @@
 // not hold is ignored: its next heartbeat says what it holds.
 func (s *System) handlePiece(tick *modeler.Tick, world *modeler.World, piece modeler.StatePiece) {
 	current := s.operators.state
-	if piece.Next <= max(current.Next, world.NextOffsets[modeler.Operators]) || piece.Base != 0 && piece.Base != current.ID {
+	newer := piece.Next > max(current.Next, world.NextOffsets[modeler.Operators]) || piece.Version > current.Version
+	if !newer || piece.Base != 0 && piece.Base != current.ID {
 		return
 	}
 	if !s.incoming.add(tick.Now, piece) {
--- a/internal/fleet/poller/poller.go
+++ b/internal/fleet/poller/poller.go
@@ -75,6 +75,8 @@
 	lastChangeEnd modeler.Position
 
 	operators operatorRecords
+	// targetVersion is the highest version of the operators' records that another node holds.
+	targetVersion int64
 	// incoming holds the pieces of the state that this node receives.
 	incoming assembly
 	lag      lag
@@ -116,8 +118,8 @@
 	}
 	s.lag.report(tick, world.NextOffsets[modeler.Operators], s.states[modeler.Operators].target)
 	s.updateReadPositions(tick.Now, world)
-	world.HeldState = s.operators.state.ID
-	world.OperatorsBehind = s.states[modeler.Operators].target > world.NextOffsets[modeler.Operators]
+	world.HeldState, world.HeldVersion = s.operators.state.ID, s.operators.state.Version
+	world.OperatorsBehind = s.states[modeler.Operators].target > world.NextOffsets[modeler.Operators] || s.targetVersion > world.HeldVersion
 }
 
 // handleRead updates the topic's state after a read by this node or another one.
@@ -130,6 +132,9 @@
 	if !e.FromPeer {
 		state.startedAt, state.backoff = time.Time{}, 0
 	}
+	if e.Topic == modeler.Operators {
+		s.operators.update(e, world.IsHub || sends(world))
+	}
 	if e.Next.Era() < world.NextOffsets[e.Topic].Era() {
 		// The read began before the store came back from a copy.
 		return
@@ -138,7 +143,6 @@
 		s.listed = true
 	}
 	if e.Topic == modeler.Operators {
-		s.operators.update(e, world.IsHub || sends(world))
 		if !e.FromPeer && e.ConfirmedAt.After(s.ownReadAt) {
 			s.ownReadAt = e.ConfirmedAt
 		}
@@ -147,7 +151,9 @@
 	if state.target <= world.NextOffsets[e.Topic] {
 		state.behindSince = time.Time{}
 	}
-	confirm(world, e.Topic, e.ConfirmedAt)
+	if e.Next >= world.NextOffsets[e.Topic] {
+		confirm(world, e.Topic, e.ConfirmedAt)
+	}
 }
 
 // confirm records that this node's state of a topic was current at a time.
@@ -285,6 +291,7 @@
 	if beat.ReadsForAll && (from == world.Coordinator || beat.Node.Precedes(world.Self)) {
 		s.readerSeenAt = tick.Now
 	}
+	s.targetVersion = max(s.targetVersion, beat.HoldsVersion)
 	s.answerHeartbeat(tick, world, from, beat)
 }
 
