Register nodes again after the store has come back from a copy

A node that starts after the return would not find the others: it answers by the copy's configuration, and places requests by its own count.

Cause: registrations that were written after the copy was made are gone, and a node registered once, at its start. A registration of an earlier process in the copy has a later position than the live one, so that the heartbeats of the live process were ignored.

It keeps its rank, so that no other node coordinates. What was read again adds unknown nodes only, and a heartbeat counts more than a registration that was only read.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -151,10 +151,11 @@
 		Self: self, Sender: peers, Deliver: func(d modeler.Deliver) { followers[d.Topic].Deliver(d) }, OnUnusable: n.observer.StateUnusable,
 	})
 	n.observer.WatchStates(states.SentBytes)
+	registrar := follower.NewRegistrar(instrumented, platform.TopicNodes, self, func(e modeler.Event) { n.loop.Post(e) })
 	engines := follower.NewEngines(reserver, func(e modeler.Event) { n.loop.Post(e) })
 	n.loop = runner.New(modeler.NewWorld(self), runner.Options{
 		Systems: systems(settings), Now: time.Now,
-		Executor: &executor{peers: peers, observer: n.observer, followers: followers, states: states, quarantines: quarantines, engines: engines},
+		Executor: &executor{peers: peers, observer: n.observer, followers: followers, states: states, registrar: registrar, quarantines: quarantines, engines: engines},
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	idleCloser := &listener.IdleCloser{Snapshot: n.loop.Snapshot}
@@ -179,7 +180,6 @@
 	group.Go(func() error { return states.Run(running) })
 	group.Go(func() error { return quarantines.Run(running) })
 	group.Go(func() error { return engines.Run(running) })
-	registrar := follower.Registrar{Store: instrumented, Topic: platform.TopicNodes, Self: self, Post: n.loop.Post}
 	group.Go(func() error { return registrar.Run(running) })
 	for _, s := range servers {
 		group.Go(s.serve)
@@ -321,12 +321,14 @@
 	})
 }
 
-// executor executes the effects of a tick: it sends messages and states, reads topics of the store, keeps quarantines there and writes log lines.
+// executor executes the effects of a tick: it sends messages and states, reads topics of the store, keeps registrations and quarantines there and
+// writes log lines.
 type executor struct {
 	peers       *messenger.Messenger
 	observer    *observer.Observer
 	followers   map[modeler.Topic]*follower.Follower
 	states      *packer.Packer
+	registrar   *follower.Registrar
 	quarantines *follower.Quarantines
 	engines     *follower.Engines
 }
@@ -346,6 +348,8 @@
 			e.states.Send(effect)
 		case modeler.UnpackState:
 			e.states.Unpack(effect)
+		case modeler.RegisterAgain:
+			e.registrar.RegisterAgain()
 		case modeler.SaveQuarantine:
 			e.quarantines.Save(effect)
 		case modeler.DeleteQuarantine:
--- a/internal/fleet/assembler/node_test.go
+++ b/internal/fleet/assembler/node_test.go
@@ -381,6 +381,20 @@
 	}
 }
 
+// TestNodeStartsAfterReturn guards against a node that starts after the store has come back from a copy without any registration, and then does not find the
+// others: it would take the copy's configuration for the newest one.
+func TestNodeStartsAfterReturn(t *testing.T) {
+	s := newSite(t)
+	copied := s.store.Copy()
+	a := s.start(t, "n1", "dc-a")
+	s.store.Put(platform.TopicOperators, "config", []byte(strings.ReplaceAll(string(platformtest.Configuration(2)), "/book/", "/added/")))
+	waitFor(t, func() bool { return a.call("/added/1", "a").code == http.StatusOK })
+	s.store.Restore(copied)
+	waitFor(t, func() bool { return s.store.Keys(platform.TopicNodes) == 1 })
+	b := s.start(t, "n2", "dc-b")
+	waitFor(t, func() bool { return b.call("/added/1", "b").code == http.StatusOK })
+}
+
 // TestOddEntries guards against an entry of another writer among those of the endpoints that ends the nodes that read it, or keeps them from following later
 // changes.
 func TestOddEntries(t *testing.T) {
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -53,6 +53,8 @@
 	beats   int
 	// suspectsRevision is the revision of World.BrokenAttempts at the last digest.
 	suspectsRevision uint64
+	// era is the highest era of the store that this node has seen, and zero before the first one.
+	era int64
 	// live holds the incarnations of the nodes for which Live reported true at the last heartbeat.
 	live map[modeler.NodeID]uint64
 	// announced counts, by incarnation, the digests that contained a node since it started.
@@ -87,7 +89,15 @@
 			world.Self = world.Self.WithRank(e.Rank)
 			tick.Emit(modeler.LogEvent{Name: modeler.LogEventNodeRegistered, Fields: []modeler.LogField{{Key: "Rank", Value: e.Rank}}})
 			s.nextBeat, s.nextHello = tick.Now, tick.Now
+			if e.Rank.Era() < s.era {
+				tick.Emit(modeler.RegisterAgain{})
+			}
+		case modeler.StoreRestored:
+			s.handleRestored(tick, world, e.Era)
 		case modeler.NodeRegistered:
+			if _, known := world.Nodes.Get(e.Node.ID); known && e.Again {
+				continue
+			}
 			mergeNode(world, e.Node)
 			s.nextHello = tick.Now
 		case modeler.LeaveRequested:
@@ -106,6 +116,15 @@
 	s.beat(tick, world)
 }
 
+// handleRestored has this node registered again after the store has come back from a copy, which may lack its registration: nodes that start later find the
+// others by it.
+func (s *System) handleRestored(tick *modeler.Tick, world *modeler.World, era int64) {
+	if s.era > 0 && era > s.era && world.Self.Rank != modeler.UnregisteredRank {
+		tick.Emit(modeler.RegisterAgain{})
+	}
+	s.era = max(s.era, era)
+}
+
 // assumeAlive lets callers use the nodes that were live before a pause until this node has received a digest. It would otherwise name only itself.
 func assumeAlive(now time.Time, world *modeler.World, pausedAt time.Time) {
 	for id, node := range world.Nodes.All() {
@@ -131,6 +150,11 @@
 func (s *System) handleMessage(tick *modeler.Tick, world *modeler.World, message modeler.Message) {
 	switch body := message.Body.(type) {
 	case modeler.Beat:
+		if known, ok := world.Nodes.Get(message.From); ok && known.Incarnation != message.Incarnation && known.LastSeenAt.IsZero() && message.From == body.Node.ID {
+			// The registration that this node has read may be of an earlier process: the store may have come back from a copy, whose ranks are of the
+			// later era.
+			world.Nodes.Delete(message.From)
+		}
 		if mergeNode(world, body.Node) {
 			s.nextHello = tick.Now
 			if message.From == world.Coordinator {
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -243,3 +243,71 @@
 	perNode := float64(f.sent) / 10 / 60
 	assert.Assert(t, perNode < 30, "%.1f messages per node and second", perNode)
 }
+
+// TestRegistrationAfterReturn guards against nodes that those which start later do not find, because their registrations were lost when the store came back
+// from a copy.
+func TestRegistrationAfterReturn(t *testing.T) {
+	tests := []struct {
+		name   string
+		events []modeler.Event
+		want   int
+	}{
+		{"first era of the process", []modeler.Event{modeler.StoreRestored{Era: 3}, modeler.SelfRegistered{Rank: modeler.NewPosition(3, 1)}}, 0},
+		{"the store comes back", []modeler.Event{modeler.StoreRestored{Era: 1}, modeler.SelfRegistered{Rank: modeler.NewPosition(1, 1)}, modeler.StoreRestored{Era: 2}}, 1},
+		{"twice", []modeler.Event{modeler.StoreRestored{Era: 1}, modeler.SelfRegistered{Rank: modeler.NewPosition(1, 1)}, modeler.StoreRestored{Era: 2}, modeler.StoreRestored{Era: 3}}, 2},
+		{"an earlier era is named late", []modeler.Event{modeler.StoreRestored{Era: 2}, modeler.SelfRegistered{Rank: modeler.NewPosition(2, 1)}, modeler.StoreRestored{Era: 1}}, 0},
+		{"the response to the registration is processed late", []modeler.Event{modeler.StoreRestored{Era: 1}, modeler.StoreRestored{Era: 2}, modeler.SelfRegistered{Rank: modeler.NewPosition(1, 1)}}, 1},
+		{"not registered yet", []modeler.Event{modeler.StoreRestored{Era: 1}, modeler.StoreRestored{Era: 2}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n", Rank: modeler.UnregisteredRank})
+			system, got := elector.New(nil), 0
+			for _, e := range tt.events {
+				tick := &modeler.Tick{Now: time.Unix(1000, 0), Events: []modeler.Event{e}}
+				system.Run(tick, world)
+				for _, effect := range tick.Effects() {
+					if _, ok := effect.(modeler.RegisterAgain); ok {
+						got++
+					}
+				}
+			}
+			assert.Equal(t, got, tt.want)
+			assert.Assert(t, world.Self.Rank == modeler.UnregisteredRank || world.Self.Rank.Offset() == 1, "the rank stays")
+		})
+	}
+}
+
+// TestCopiedRegistrations guards against a live node that is ignored because the store's copy names an earlier process of it with a later position, and
+// against a live process that is replaced by an earlier one.
+func TestCopiedRegistrations(t *testing.T) {
+	at := modeler.NewPosition
+	now := time.Unix(1000, 0)
+	copied := modeler.Node{ID: "x", Incarnation: 1, Rank: at(2, 3)}
+	live := modeler.Node{ID: "x", Incarnation: 2, Rank: at(1, 9)}
+	heartbeat := modeler.PeerReceived{Message: modeler.Message{From: "x", Incarnation: 2, Body: modeler.Beat{Node: live}}}
+	earlier := modeler.PeerReceived{Message: modeler.Message{From: "x", Incarnation: 1, Body: modeler.Beat{Node: copied.WithRank(at(1, 3))}}}
+	tests := []struct {
+		name   string
+		events []modeler.Event
+		want   modeler.Node
+	}{
+		{"a new node reads the copy", []modeler.Event{modeler.NodeRegistered{Node: copied}}, copied},
+		{"the live process sends a heartbeat", []modeler.Event{modeler.NodeRegistered{Node: copied}, heartbeat}, live},
+		{"the copy is read after a heartbeat", []modeler.Event{heartbeat, modeler.NodeRegistered{Node: copied, Again: true}}, live},
+		{"a heartbeat of the earlier process arrives late", []modeler.Event{heartbeat, earlier}, live},
+		{"an unknown node is read again", []modeler.Event{modeler.NodeRegistered{Node: live, Again: true}}, live},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world := modeler.NewWorld(modeler.Node{ID: "n", Rank: at(2, 10)})
+			system := elector.New(nil)
+			for _, e := range tt.events {
+				system.Run(&modeler.Tick{Now: now, Events: []modeler.Event{e}}, world)
+			}
+			got, _ := world.Nodes.Get("x")
+			assert.Equal(t, got.Incarnation, tt.want.Incarnation)
+			assert.Equal(t, got.Rank, tt.want.Rank)
+		})
+	}
+}
--- a/internal/fleet/modeler/event.go
+++ b/internal/fleet/modeler/event.go
@@ -43,8 +43,12 @@
 	}
 	// EndpointsDropped carries the entries that were removed last, as they were before. It comes before the first TopicListed of a process.
 	EndpointsDropped struct{ Entries []EndpointChanged }
-	// NodeRegistered carries the registration of a node.
-	NodeRegistered struct{ Node Node }
+	// NodeRegistered carries the registration of a node. Again is set if it was read after the store has come back from a copy, in which registrations may
+	// be older than what is known.
+	NodeRegistered struct {
+		Node  Node
+		Again bool
+	}
 	// SelfRegistered reports that the registration of this node was written to the store.
 	SelfRegistered struct{ Rank Position }
 	// ListingBegan begins a listing of a topic, before the events for the newest record of each key. End is the end of the topic when the listing began.
@@ -247,6 +251,8 @@
 	DeleteQuarantine struct{ Fingerprint Fingerprint }
 	// FetchQuarantines reads the quarantines in the store. It results in QuarantinesRead once the store responds.
 	FetchQuarantines struct{}
+	// RegisterAgain writes this node's registration to the store again if it is not there any more. It results in NodeRegistered for the others.
+	RegisterAgain struct{}
 	// AskEngines asks engines what they work on. It results in EngineReported for each one that answers.
 	AskEngines struct{ Engines []Endpoint }
 	// LogEvent is one line for the log.
@@ -273,5 +279,6 @@
 func (SaveQuarantine) effect()   {}
 func (DeleteQuarantine) effect() {}
 func (FetchQuarantines) effect() {}
+func (RegisterAgain) effect()    {}
 func (AskEngines) effect()       {}
 func (LogEvent) effect()         {}
