Write quarantines again after the store has come back from a copy

After a return and a restart of all nodes, a request that crashes endpoints would be sent to three more of them.

Cause: a quarantine is written once. If the copy is older, the store has lost it, and a node that coordinates later does not read it.

Change: when the era rises, the node that decides on quarantines writes those in force again, and so does the one that reads for all, in case the store turns the other one away.

Evidence: found by reading; TestQuarantinesAfterReturn fails before. A lifted quarantine that the copy still has stays until its probe or end.

--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// handleRestored writes the quarantines again after the store has come back from a copy, which may lack them: a node that coordinates later reads them there.
+// Of all nodes, the one that decides on quarantines does it, and the one that reads the store for all, in case the store turns the other one away.
+func (s *System) handleRestored(tick *modeler.Tick, world *modeler.World, era int64) {
+	restored := s.era > 0 && era > s.era
+	s.era = max(s.era, era)
+	if !restored || !places(world, tick.Now) && !world.ReadsForAll {
+		return
+	}
+	for fingerprint, attempts := range world.BrokenAttempts.All() {
+		if suspect, ok := attempts.Suspect(fingerprint, tick.Now); ok && attempts.Quarantined(tick.Now) {
+			tick.Emit(modeler.SaveQuarantine{Suspect: suspect, Until: attempts.Until})
+		}
+	}
+}
+
 // liftQuarantine removes the count of a fingerprint, and its quarantine on all nodes.
 func liftQuarantine(tick *modeler.Tick, world *modeler.World, fingerprint modeler.Fingerprint, id modeler.RequestID) {
 	brokenAttempts, _ := world.BrokenAttempts.Get(fingerprint)
--- a/internal/fleet/watcher/quarantine_test.go
+++ b/internal/fleet/watcher/quarantine_test.go
@@ -342,3 +342,40 @@
 		})
 	}
 }
+
+// TestQuarantinesAfterReturn guards against a quarantine that ends with the nodes that know it, because the store has come back from a copy without it.
+func TestQuarantinesAfterReturn(t *testing.T) {
+	tests := []struct {
+		name        string
+		coordinator modeler.NodeID
+		reads       bool
+		eras        []int64
+		after       time.Duration
+		want        int
+	}{
+		{"first era of the process", "n", false, []int64{1}, time.Second, 0}, {"the store comes back", "n", false, []int64{1, 2}, time.Second, 1},
+		{"an earlier era is named late", "n", false, []int64{2, 1}, time.Second, 0}, {"on a node that does not decide", "m", false, []int64{1, 2}, time.Second, 0},
+		{"on the one that reads for all", "m", true, []int64{1, 2}, time.Second, 1}, {"the quarantine has ended", "n", false, []int64{1, 2}, time.Hour, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			world, system := modeler.NewWorld(modeler.Node{ID: "n"}), watcher.New()
+			world.Nodes.Put("m", modeler.Node{ID: "m"})
+			world.Coordinator, world.ReadsForAll = tt.coordinator, tt.reads
+			world.BrokenAttempts.Put(part, modeler.BrokenAttempts{Count: 3, SharedPart: true, At: start, FirstAt: start, From: start, Until: start.Add(10 * time.Minute), Quarantines: 1})
+			saved := 0
+			for _, era := range tt.eras {
+				tick := &modeler.Tick{Now: start.Add(tt.after), Events: []modeler.Event{modeler.StoreRestored{Era: era}}}
+				system.Run(tick, world)
+				for _, effect := range tick.Effects() {
+					if save, ok := effect.(modeler.SaveQuarantine); ok {
+						saved++
+						assert.Equal(t, save.Suspect.Fingerprint, part)
+						assert.Equal(t, save.Until, start.Add(10*time.Minute))
+					}
+				}
+			}
+			assert.Equal(t, saved, tt.want)
+		})
+	}
+}
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -20,6 +20,8 @@
 	nextResolveAt  time.Time
 	// coordinated is set if this node coordinated in the last tick.
 	coordinated bool
+	// era is the highest era of the store that this node has seen, and zero before the first one.
+	era int64
 	// started holds the attempts that got their first event within survivalTime, the oldest first.
 	started []startedAttempt
 }
@@ -37,6 +39,8 @@
 			handleSilence(tick, world, e.ID)
 		case modeler.AttemptEnded:
 			s.handleEnded(tick, world, e)
+		case modeler.StoreRestored:
+			s.handleRestored(tick, world, e.Era)
 		case modeler.QuarantinesRead:
 			mergeSuspects(tick.Now, world, e.Suspects)
 		case modeler.PeerReceived:
