Read the history of endpoints from the era of the listing

A node that starts would ask the store for a history at an offset of an earlier era.

Cause: made positions of offsets, and the start of the history was still computed by plain subtraction. The store's 410 led to the right records by accident, with one more call.

Change: Position.Before stays within its era.

Evidence: TestHistoryStart fails before for a topic shorter than the history.

--- a/internal/fleet/follower/dropped_test.go
+++ b/internal/fleet/follower/dropped_test.go
@@ -82,3 +82,17 @@
 		})
 	}
 }
+
+// TestHistoryStart guards against a history that is read from an earlier era of the store, because the topic is shorter than the history.
+func TestHistoryStart(t *testing.T) {
+	at := modeler.NewPosition
+	tests := []struct{ end, want modeler.Position }{{20, 10}, {5, 0}, {at(2, 20), at(2, 10)}, {at(2, 5), at(2, 0)}}
+	for _, tt := range tests {
+		t.Run(tt.end.String(), func(t *testing.T) {
+			store := &historyStore{listing: modeler.Page{Next: tt.end, End: tt.end}}
+			f := New(store, Source{Topic: modeler.Endpoints, History: 10}, func(modeler.Event) {}, nil)
+			assert.NilError(t, f.read(t.Context(), modeler.Fetch{}))
+			assert.DeepEqual(t, store.from, []modeler.Position{tt.want})
+		})
+	}
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -170,7 +170,7 @@
 
 // readDropped returns the entries that were removed within the last records of the topic. A failure is not reported: the listing suffices to serve.
 func (f *Follower) readDropped(ctx context.Context, listing modeler.Page) []modeler.EndpointChanged {
-	page, err := f.Store.Read(ctx, f.Source.Name, max(0, listing.Next-modeler.Position(f.Source.History)), 0)
+	page, err := f.Store.Read(ctx, f.Source.Name, listing.Next.Before(f.Source.History), 0)
 	var truncated modeler.TruncatedError
 	if errors.As(err, &truncated) {
 		page, err = f.Store.Read(ctx, f.Source.Name, truncated.First, 0)
--- a/internal/fleet/modeler/position.go
+++ b/internal/fleet/modeler/position.go
@@ -23,6 +23,9 @@
 // Offset returns the offset in the era.
 func (p Position) Offset() int64 { return int64(p) & (1<<offsetBits - 1) }
 
+// Before returns the position of the record that is count records earlier, or that of the first one of the era if there are fewer.
+func (p Position) Before(count int64) Position { return NewPosition(p.Era(), max(p.Offset()-count, 0)) }
+
 // String implements fmt.Stringer: the offset, after the era and a colon for a store with eras.
 func (p Position) String() string {
 	offset := strconv.FormatInt(p.Offset(), 10)
