Do not take offsets of nodes of the version before for positions

While nodes are replaced one after the other, the old ones would ignore what the store says of endpoints, and the new ones take old offsets for complete.

Cause: positions and plain offsets had the same fields in messages between nodes. A position of era 1 is higher than any offset.

A heartbeat without positions confirms nothing.

Evidence: found by reading; TestEarlierVersion fails before.

--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -109,6 +109,10 @@
 		Node: decodeNode(b.GetNode()), Coordinates: b.GetCoordinates(), ReadsForAll: b.GetReadsForAll(), Suspects: decodeSuspects(b.GetSuspects()),
 		Terms: decodeTerms(b.GetTerms()), Holds: modeler.StateID(b.GetHolds()), HoldsVersion: b.GetHoldsVersion(), Part: modeler.RequestPart{Index: int(b.GetPart()), Count: int(b.GetParts())},
 	}
+	for i := range beat.ReadPositions {
+		// A node that names no position confirms nothing.
+		beat.ReadPositions[i].Age = math.MaxInt64
+	}
 	for i, k := range b.GetKnown() {
 		if i < len(beat.ReadPositions) {
 			beat.ReadPositions[i] = modeler.ReadPosition{End: modeler.Position(k.GetEnd()), LastChangeEnd: modeler.Position(k.GetMaterial()), Age: microseconds(k.GetAge())}
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -199,6 +201,34 @@
 	return tick.Effects()
 }
 
+// TestEarlierVersion guards against offsets of nodes of the version before that are taken for positions, while the nodes are replaced one after the other.
+func TestEarlierVersion(t *testing.T) {
+	number := func(field protowire.Number, value uint64) []byte {
+		return protowire.AppendVarint(protowire.AppendTag(nil, field, protowire.VarintType), value)
+	}
+	part := func(field protowire.Number, content []byte) []byte {
+		return protowire.AppendBytes(protowire.AppendTag(nil, field, protowire.BytesType), content)
+	}
+	tests := []struct {
+		name  string
+		data  []byte
+		known bool
+	}{
+		{"changes of endpoints", part(10, number(2, 9)), false}, {"state in one datagram", part(11, number(1, 9)), false}, {"heartbeat", part(8, part(4, number(1, 9))), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var d Datagram
+			assert.NilError(t, proto.Unmarshal(tt.data, &d))
+			message, ok := decode(now, &d)
+			assert.Equal(t, ok, tt.known)
+			if tt.known {
+				assert.DeepEqual(t, message.Body.(modeler.Beat).ReadPositions, [2]modeler.ReadPosition{{Age: math.MaxInt64}, {Age: math.MaxInt64}})
+			}
+		})
+	}
+}
+
 // FuzzDecode guards against a datagram that makes a node panic.
 func FuzzDecode(f *testing.F) {
 	data, err := proto.Marshal(encode(now, modeler.Message{From: "n", Body: modeler.Ask{Request: request()}}))
