Write a quarantine without waiting after a read

A request that crashes endpoints would crash three more of them after a restart of all nodes.

Cause: one pause of a second followed each round of calls for quarantines. A node reads them when it begins to coordinate, and one that was decided on within the next second waited; a planned stop in that second lost it.

Change: writes and reads have a pause each.

--- a/internal/fleet/follower/quarantines.go
+++ b/internal/fleet/follower/quarantines.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// quarantineInterval is the time between two rounds of calls for quarantines. Calls to the store have a price.
+	// quarantineInterval is the time between two rounds of writes, and between two reads. Calls to the store have a price. A write does not wait for the
+	// interval after a read: a node that stops meanwhile would take the quarantine with it.
 	quarantineInterval = time.Second
 	// maxPendingQuarantines bounds the quarantines that wait to be written while the store does not respond.
 	maxPendingQuarantines = 256
@@ -92,22 +93,44 @@
 
 // Run reads and writes on request until ctx ends and returns its error. Failed calls are repeated.
 func (q *Quarantines) Run(ctx context.Context) error {
+	var nextWrite, nextRead time.Time
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-q.wake:
+		case <-timer.C:
 		}
-		q.write(ctx)
-		q.read(ctx)
-		if err := sleep(ctx, quarantineInterval); err != nil {
-			return err
+		if !time.Now().Before(nextWrite) && q.write(ctx) {
+			nextWrite = time.Now().Add(quarantineInterval)
 		}
+		if !time.Now().Before(nextRead) && q.read(ctx) {
+			nextRead = time.Now().Add(quarantineInterval)
+		}
+		if next, ok := q.next(nextWrite, nextRead); ok {
+			timer.Reset(time.Until(next))
+		}
+	}
+}
+
+// next returns when the work that is left may be done, the earlier of the two times that apply. It returns false if none is left.
+func (q *Quarantines) next(nextWrite, nextRead time.Time) (time.Time, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case len(q.pending) > 0 && (!q.readDue || nextWrite.Before(nextRead)):
+		return nextWrite, true
+	case q.readDue:
+		return nextRead, true
+	default:
+		return time.Time{}, false
 	}
 }
 
-// write writes the pending records. Those that could not be written stay pending unless they were replaced meanwhile.
-func (q *Quarantines) write(ctx context.Context) {
+// write writes the pending records, and reports whether there were any. Those that could not be written stay pending unless they were replaced meanwhile.
+func (q *Quarantines) write(ctx context.Context) bool {
 	q.mu.Lock()
 	records := q.pending
 	q.pending = map[string][]byte{}
@@ -123,26 +146,26 @@
 		if _, replaced := q.pending[key]; !replaced {
 			q.pending[key] = value
 		}
-		q.signal()
 		q.mu.Unlock()
 	}
+	return len(records) > 0
 }
 
-// read posts the quarantines in the store if a read is due, and deletes those that have ended.
-func (q *Quarantines) read(ctx context.Context) {
+// read posts the quarantines in the store if a read is due, and deletes those that have ended. It reports whether one was.
+func (q *Quarantines) read(ctx context.Context) bool {
 	q.mu.Lock()
 	due := q.readDue
 	q.readDue = false
 	q.mu.Unlock()
 	if !due {
-		return
+		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	page, err := q.store.Newest(callCtx, q.topic)
 	if err != nil {
 		q.Fetch()
-		return
+		return true
 	}
 	var suspects []modeler.Suspect
 	for _, record := range page.Records {
@@ -159,6 +182,7 @@
 	if len(suspects) > 0 {
 		q.post(modeler.QuarantinesRead{Suspects: suspects})
 	}
+	return true
 }
 
 func decodeQuarantine(record modeler.Record, now time.Time) (modeler.Suspect, error) {
--- a/internal/fleet/follower/quarantines_test.go
+++ b/internal/fleet/follower/quarantines_test.go
@@ -187,6 +187,32 @@
 	assert.Equal(t, store.calls, 3)
 }
 
+// TestQuarantineAfterRead guards against a quarantine that is lost because its node stops in the second after a read of the quarantines.
+func TestQuarantineAfterRead(t *testing.T) {
+	store := &keyedStore{values: map[string][]byte{}}
+	read := make(chan struct{}, 1)
+	store.end = func() { read <- struct{}{} }
+	q := follower.NewQuarantines(store, "t", func(modeler.Event) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- q.Run(ctx) }()
+	q.Fetch()
+	<-read
+	q.Save(modeler.SaveQuarantine{Suspect: modeler.Suspect{Fingerprint: 8}, Until: time.Now().Add(time.Minute)})
+	deadline := time.After(500 * time.Millisecond)
+	poll := time.NewTicker(5 * time.Millisecond)
+	defer poll.Stop()
+	for store.written() == 0 {
+		select {
+		case <-poll.C:
+		case <-deadline:
+			t.Fatal("not written within half a second")
+		}
+	}
+	cancel()
+	assert.ErrorIs(t, <-done, context.Canceled)
+}
+
 // FuzzQuarantineRecord guards against a record of another writer that ends the node.
 func FuzzQuarantineRecord(f *testing.F) {
 	f.Add("8", []byte(`{"Count":3,"SharedPart":true,"Companions":["8","9"],"Requests":["1"],"UntilUnixMilli":99999999999999}`))
