Name the missing rank in logs instead of a position

Cause: Rank of a node that is not registered was printed as 4194304:0.

Change: Position.String says none.

Evidence: read in the log of a test.

--- a/internal/fleet/modeler/position.go
+++ b/internal/fleet/modeler/position.go
@@ -26,8 +26,11 @@
 // Before returns the position of the record that is count records earlier, or that of the first one of the era if there are fewer.
 func (p Position) Before(count int64) Position { return NewPosition(p.Era(), max(p.Offset()-count, 0)) }
 
-// String implements fmt.Stringer: the offset, after the era and a colon for a store with eras.
+// String implements fmt.Stringer: the offset, after the era and a colon for a store with eras, or none for UnregisteredRank.
 func (p Position) String() string {
+	if p == UnregisteredRank {
+		return "none"
+	}
 	offset := strconv.FormatInt(p.Offset(), 10)
 	if era := p.Era(); era > 0 {
 		return strconv.FormatInt(era, 10) + ":" + offset
