Check the age of a received state again

Cause: replaced the poller's TestDeliver by TestPieces, which did not check when a received state was confirmed, nor one that is as new as what the node holds.

Change: TestPieces checks both.

Evidence: TestPieces fails if the age of a piece is left out.

--- a/internal/fleet/poller/pieces_test.go
+++ b/internal/fleet/poller/pieces_test.go
@@ -14,7 +14,7 @@
 func TestPieces(t *testing.T) {
 	held := modeler.NewOperatorState([]modeler.Record{configuration(5, 10)}, 6)
 	piece := func(state, base modeler.StateID, next modeler.Position, index int) modeler.StatePiece {
-		return modeler.StatePiece{State: state, Base: base, Next: next, Index: index, Count: 3, Data: []byte{byte(state), byte(index)}}
+		return modeler.StatePiece{State: state, Base: base, Next: next, Index: index, Count: 3, Age: 100 * time.Millisecond, Data: []byte{byte(state), byte(index)}}
 	}
 	type arrival struct {
 		after time.Duration
@@ -48,6 +48,7 @@
 		},
 		{"against the records that this node holds", []arrival{{0, piece(1, held.ID, 9, 0)}, {0, piece(1, held.ID, 9, 1)}, {0, piece(1, held.ID, 9, 2)}}, []string{"\x01\x00\x01\x01\x01\x02"}},
 		{"against other records", []arrival{{0, piece(1, 77, 9, 0)}, {0, piece(1, 77, 9, 1)}, {0, piece(1, 77, 9, 2)}}, nil},
+		{"as new as what this node holds", []arrival{{0, piece(1, 0, 6, 0)}, {0, piece(1, 0, 6, 1)}, {0, piece(1, 0, 6, 2)}}, nil},
 		{"older than what this node holds", []arrival{{0, piece(1, 0, 5, 0)}, {0, piece(1, 0, 5, 1)}, {0, piece(1, 0, 5, 2)}}, nil},
 		{"impossible numbers", []arrival{
 			{0, modeler.StatePiece{State: 1, Next: 9, Index: -1, Count: 1, Data: []byte{1}}}, {0, modeler.StatePiece{State: 1, Next: 9, Index: 1, Count: 1, Data: []byte{1}}},
@@ -66,6 +67,7 @@
 						got = append(got, string(unpack.Packed))
 						assert.Equal(t, unpack.Base.ID, a.piece.Base)
 						assert.Equal(t, unpack.Next, a.piece.Next)
+						assert.Equal(t, unpack.ConfirmedAt, n.now.Add(-100*time.Millisecond))
 					}
 				}
 			}
