Reject answers without a valid status line

What callers saw: an engine answered with status 000, and the bytes behind that head, which read as a head with 200, reached the caller as the answer. The same happened behind the statuses 001, 099, "+20" and 101. Statuses from 600 to 999 reached the caller as they were.

Cause: the reader took each status under 200 for that of an interim response and read on. net/http accepts any three characters that parse as a number as a status, any version, several spaces before the status, and control bytes in the reason.

Change: internal/web/checker checks the bytes of a head as they are read, before net/http gets them. A status line is "HTTP/1.x", one space and three digits from 100 to 599 (RFC 9112, section 4; RFC 9110, section 15), optionally followed by a space and a reason. 101 is rejected, because no request asks for another protocol. The answer counts as garbled and not as a broken connection, so that it does not add to the quarantine of its request; the request goes on elsewhere where its route allows that, and gets 502 otherwise. AnswerInvalid in the log and damaskpick_invalid_answers_total{fault} show each invalid answer.

The head is judged before any of its bytes reaches the reader, so nothing behind an invalid one can be taken for an answer.

--- a/internal/fleet/assembler/assembler.go
+++ b/internal/fleet/assembler/assembler.go
@@ -369,7 +369,8 @@
 	traffic := platform.Traffic{}
 	forward := &forwarder.Forwarder{
 		Control: n.loop, Protocol: traffic, Pool: pool, Reserver: reserver, Self: self, OnRetry: n.observer.Retried,
-		Budget: n.budget, Borrows: n.settings.Bounds.RetryLending > 0,
+		OnInvalidAnswer: n.observer.AnswerInvalid,
+		Budget:          n.budget, Borrows: n.settings.Bounds.RetryLending > 0,
 	}
 	callers := &listener.CallerHandler{Decoder: traffic, Forwarder: forward, Snapshot: n.loop.Snapshot, Observer: n.observer, Configured: n.loop.Configured(), Charger: n.callers}
 	addresses := listener.Addresses{
--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -130,14 +130,17 @@
 }
 
 // ReadResponse reads the header of the response. The header and the body must be read within timeout. own reports by the header whether a
-// response belongs to this request. Up to maxForeignResponses others are skipped; after one more, ErrForeignResponse is returned.
+// response belongs to this request. Up to maxForeignResponses others are skipped; after one more, ErrForeignResponse is returned. A checker.HeadError is
+// returned for a response whose head is invalid.
 func (x *Exchange) ReadResponse(method string, timeout time.Duration, own func(http.Header) bool) (*Response, error) {
 	if err := x.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
 	}
 	defer x.conn.source.unlimit()
 	for foreign, interim := 0, 0; ; {
-		x.conn.source.limit(maxHeaderBytes)
+		if err := x.conn.beginHead(); err != nil {
+			return nil, err
+		}
 		// Closing the body would wait for the rest of a stream. Exchange.Close closes the connection instead.
 		response, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: method}) //nolint:bodyclose // See above.
 		if err != nil {
--- a/internal/fleet/dialer/pool.go
+++ b/internal/fleet/dialer/pool.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"damaskpick.example/damaskpick/internal/web/checker"
 )
 
 const (
@@ -70,7 +72,7 @@
 	net.Conn
 	Reader *bufio.Reader
 	// source is what Reader reads from.
-	source *limitedReader
+	source *responseReader
 	// Reused is set if the connection was idle in the pool before.
 	Reused  bool
 	address string
@@ -105,31 +107,45 @@
 	if err != nil {
 		return nil, err
 	}
-	source := &limitedReader{reader: conn, left: math.MaxInt64}
+	source := &responseReader{reader: conn, left: math.MaxInt64}
 	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(source, readBufferSize), source: source, address: address}, nil
 }
 
-// limitedReader fails with errHeaderTooLong after a number of bytes. It is used by one goroutine at a time.
-type limitedReader struct {
+// responseReader checks the heads of responses, and fails with errHeaderTooLong after a number of bytes. It is used by one goroutine at a time.
+type responseReader struct {
 	reader io.Reader
 	// left is the number of bytes that may still be read.
 	left int64
+	// scanner has got all bytes that were read since the beginning of the current head.
+	scanner checker.Scanner
 }
 
-func (r *limitedReader) limit(bytes int64) { r.left = bytes }
+func (r *responseReader) limit(bytes int64) { r.left = bytes }
 
-func (r *limitedReader) unlimit() { r.left = math.MaxInt64 }
+func (r *responseReader) unlimit() { r.left = math.MaxInt64 }
 
-// Read implements io.Reader.
-func (r *limitedReader) Read(p []byte) (int, error) {
+// Read implements io.Reader. It returns a checker.HeadError instead of the bytes of an invalid head.
+func (r *responseReader) Read(p []byte) (int, error) {
 	if r.left <= 0 {
 		return 0, errHeaderTooLong
 	}
 	n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	if headErr := r.scanner.Scan(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+// beginHead checks the bytes that follow as the head of a response. Those in the buffer were read together with an earlier response.
+func (c *Conn) beginHead() error {
+	c.source.limit(maxHeaderBytes)
+	c.source.scanner = checker.Scanner{}
+	// Peeking at what is buffered does not fail.
+	buffered, _ := c.Reader.Peek(c.Reader.Buffered())
+	return c.source.scanner.Scan(buffered)
+}
+
 // Dialed returns the number of connections that were dialed, including failed ones.
 func (p *Pool) Dialed() int64 {
 	p.mu.Lock()
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -12,6 +12,7 @@
 
 	"damaskpick.example/damaskpick/internal/fleet/dialer"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/web/checker"
 )
 
 const (
@@ -87,7 +88,7 @@
 	if fields.RequestID != p.call.Fields.ID && exchange.Reused() {
 		// Without an id, it may be a late copy of the response to an earlier request on the connection.
 		f.countPossibleRun(p)
-		return modeler.Garbled
+		return f.rejectAnswer(p, NoRequestID, nil)
 	}
 	if !fields.Misdirected && (!fields.Notice.Empty() || f.Control.Snapshot().Limited[plan.Endpoint.ID]) {
 		f.Control.Post(modeler.EndpointResponded{Endpoint: plan.Endpoint, Notice: fields.Notice, SentAt: p.sentAt})
@@ -100,9 +101,13 @@
 		}
 		return modeler.Shed
 	}
-	if response.Header.Get("Content-Encoding") != "" || response.StatusCode < 300 && !fields.Signed {
+	if response.Header.Get("Content-Encoding") != "" {
 		f.countPossibleRun(p)
-		return modeler.Garbled
+		return f.rejectAnswer(p, EncodedAnswer, nil)
+	}
+	if response.StatusCode < 300 && !fields.Signed {
+		f.countPossibleRun(p)
+		return f.rejectAnswer(p, UnsignedAnswer, nil)
 	}
 	if p.headerSent && !p.continues(response) {
 		// The caller has received part of the stream from another engine. Forwarding this answer would put the text of an error into the stream, or
@@ -184,12 +189,15 @@
 // as Silent only if fallback is Broken, which means that the request may have reached the endpoint.
 func (f *Forwarder) classifyError(ctx context.Context, p *progress, err error, fallback modeler.Outcome) modeler.Outcome {
 	var netErr net.Error
+	var headErr checker.HeadError
 	waited := time.Since(p.sentAt)
 	switch {
 	case ctx.Err() != nil:
 		return modeler.Abandoned
 	case errors.Is(err, dialer.ErrForeignResponse):
-		return modeler.Garbled
+		return f.rejectAnswer(p, ForeignAnswer, err)
+	case errors.As(err, &headErr):
+		return f.rejectAnswer(p, AnswerFault(headErr.Fault.String()), err)
 	case errors.Is(err, syscall.ETIMEDOUT) && fallback == modeler.Broken:
 		// The endpoint's host has acknowledged nothing for too long.
 		return modeler.Silent
@@ -245,7 +253,7 @@
 func (f *Forwarder) forwardWhole(ctx context.Context, p *progress, guard *silenceGuard, response *dialer.Response, sink Sink) (modeler.Outcome, bool) {
 	if response.Length > maxAnswerBytes {
 		f.countPossibleRun(p)
-		return modeler.Garbled, false
+		return f.rejectAnswer(p, LongAnswer, nil), false
 	}
 	body, whole, err := readWhole(ctx, p.call.Memory, response)
 	if err != nil {
@@ -344,7 +352,7 @@
 		}
 		if errors.Is(err, errNoEvent) {
 			p.mayHaveRun = true
-			return modeler.Garbled, false
+			return f.rejectAnswer(p, NoEvent, err), false
 		}
 		if err != nil {
 			p.mayHaveRun = true
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -128,6 +128,8 @@
 	// OnRetry, if set, is called before each retry. attempt is the number of attempts so far, last the outcome of the last one, and
 	// endpoint the endpoint that it was sent to.
 	OnRetry func(call Call, attempt int, last modeler.Outcome, endpoint modeler.EndpointID)
+	// OnInvalidAnswer, if set, is called for each invalid answer of an endpoint.
+	OnInvalidAnswer func(answer InvalidAnswer)
 }
 
 const (
--- /dev/null
+++ b/internal/fleet/forwarder/invalid_answer_test.go
@@ -0,0 +1,81 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/fleet/forwarder"
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// startRawServer starts a server that answers each request with the same bytes and then closes the connection. It returns the address.
+func startRawServer(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err == nil {
+			_, _ = io.WriteString(conn, answer)
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestInvalidAnswer guards against an invalid answer that nobody can see in the log, and against counting it as a broken connection: after three of these the
+// request would be quarantined as one that crashes endpoints.
+func TestInvalidAnswer(t *testing.T) {
+	const id, signature = "Request-Id: r1\r\n", "Response-Signature: s\r\n"
+	tests := []struct {
+		name, answer string
+		kind         modeler.Kind
+		fault        forwarder.AnswerFault
+	}{
+		{"status 000", "HTTP/1.1 000 None\r\n" + id + signature + "Content-Length: 0\r\n\r\n", modeler.Unsafe, "StatusLine"},
+		{"status 600", "HTTP/1.1 600 High\r\n" + id + signature + "Content-Length: 0\r\n\r\n", modeler.Unsafe, "StatusLine"},
+		{"no signature", "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 0\r\n\r\n", modeler.Unsafe, forwarder.UnsignedAnswer},
+		{"encoding", "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Encoding: gzip\r\n\r\n", modeler.Unsafe, forwarder.EncodedAnswer},
+		{"long", "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Length: 99999999\r\n\r\n", modeler.Unsafe, forwarder.LongAnswer},
+		{"no event", "HTTP/1.1 200 OK\r\n" + id + signature + "\r\nHTTP/1.1 200 OK\r\n\r\n", modeler.Stream, forwarder.NoEvent},
+		{"another request", "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\n\r\n", modeler.Unsafe, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.control.endpoints = []modeler.Endpoint{{ID: "raw", Address: startRawServer(t, tt.answer)}}
+			var got []forwarder.InvalidAnswer
+			f.forward.OnInvalidAnswer = func(answer forwarder.InvalidAnswer) { got = append(got, answer) }
+			result := f.forward.Serve(t.Context(), call(tt.kind, "/book/1"), &sink{})
+			assert.Equal(t, result.Status, forwarder.Unknown)
+			if tt.fault == "" {
+				// The connection ended before the answer to this request.
+				assert.DeepEqual(t, f.control.outcomes, []modeler.Outcome{modeler.Broken})
+				return
+			}
+			assert.DeepEqual(t, f.control.outcomes, []modeler.Outcome{modeler.Garbled})
+			assert.Equal(t, len(got), 1)
+			assert.Equal(t, got[0].Request, modeler.RequestID("r1"))
+			assert.Equal(t, got[0].Endpoint, modeler.EndpointID("raw"))
+			assert.Equal(t, got[0].Fault, tt.fault)
+		})
+	}
+}
--- a/internal/fleet/forwarder/long_answer.go
+++ b/internal/fleet/forwarder/long_answer.go
@@ -34,7 +34,7 @@
 	for buffer, data := make([]byte, copyBufferSize), begin; ; {
 		if length += len(data); length > maxAnswerBytes {
 			p.mayHaveRun = true
-			return modeler.Garbled, false
+			return f.rejectAnswer(p, LongAnswer, nil), false
 		}
 		if _, err := sink.Write(data); err != nil {
 			return modeler.Abandoned, false
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -87,6 +87,8 @@
 	LogEventAttemptBroken LogEventName = "AttemptBroken"
 	// LogEventBrokenAttemptReported: Request, Node, Endpoint, Fingerprint, SharedPart, Counted, Count, SinceLast.
 	LogEventBrokenAttemptReported LogEventName = "BrokenAttemptReported"
+	// LogEventAnswerInvalid: Request, Endpoint, Fault, error.
+	LogEventAnswerInvalid LogEventName = "AnswerInvalid"
 	// LogEventAttemptRepeated: Request, Attempt, Outcome, Endpoint, Age.
 	LogEventAttemptRepeated LogEventName = "AttemptRepeated"
 	// LogEventRequestEnded: Request, Route, Status, Code, Endpoint, Helpers, Attempts, Last, Prompt, Output, First, Pause, Took, Late, Reason,
@@ -104,6 +106,6 @@
 	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
 	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventStoreRestored, LogEventTopicRestored, LogEventRecordHeld,
 	LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateUnusable,
-	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAttemptRepeated, LogEventRequestEnded,
+	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAnswerInvalid, LogEventAttemptRepeated, LogEventRequestEnded,
 	LogEventRequestRejected,
 }
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -131,6 +131,13 @@
 		Str("Endpoint", string(endpoint)).Dur("Age", time.Since(call.Arrived)).Msg(string(modeler.LogEventAttemptRepeated))
 }
 
+// AnswerInvalid counts an invalid answer of an endpoint and writes a log line for it.
+func (o *Observer) AnswerInvalid(answer forwarder.InvalidAnswer) {
+	o.set.GetOrCreateCounter(`damaskpick_invalid_answers_total{fault="` + string(answer.Fault) + `"}`).Inc()
+	o.options.Events.Warn().Str("Request", string(answer.Request)).Str("Endpoint", string(answer.Endpoint)).Str("Fault", string(answer.Fault)).
+		AnErr("error", answer.Err).Msg(string(modeler.LogEventAnswerInvalid))
+}
+
 // Ended records the metrics of a finished request and writes a log line for it.
 func (o *Observer) Ended(call forwarder.Call, r forwarder.Result) {
 	kind := call.Route.Kind.String()
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"damaskpick.example/damaskpick/internal/fleet/forwarder"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
 	"damaskpick.example/damaskpick/internal/fleet/observer"
 )
@@ -80,3 +81,23 @@
 		assert.Assert(t, strings.Contains(page(o), want+"\n"), want)
 	}
 }
+
+// TestInvalidAnswer guards against an invalid answer that an operator cannot find: by the id of the request in the log, by its kind in the metrics.
+func TestInvalidAnswer(t *testing.T) {
+	var lines strings.Builder
+	none := func() int64 { return 0 }
+	o := observer.New(observer.Options{
+		Events: zerolog.New(&lines), Requests: zerolog.Nop(), Snapshot: func() *modeler.Snapshot { return &modeler.Snapshot{} }, Dialed: none, PeerFailures: none,
+		Retries: func() int { return 0 },
+	})
+	o.AnswerInvalid(forwarder.InvalidAnswer{Request: "r1", Endpoint: "e1", Fault: forwarder.UnsignedAnswer})
+	o.AnswerInvalid(forwarder.InvalidAnswer{Request: "r2", Endpoint: "e1", Fault: "StatusLine", Err: errors.New("status 000")})
+	tests := []struct{ name, text, want string }{
+		{"count", page(o), `damaskpick_invalid_answers_total{fault="StatusLine"} 1`},
+		{"line without details", lines.String(), `"Request":"r1","Endpoint":"e1","Fault":"UnsignedAnswer","message":"AnswerInvalid"`},
+		{"line", lines.String(), `"Request":"r2","Endpoint":"e1","Fault":"StatusLine","error":"status 000","message":"AnswerInvalid"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { assert.Assert(t, strings.Contains(tt.text, tt.want), tt.text) })
+	}
+}
--- /dev/null
+++ b/internal/web/checker/checker_test.go
@@ -0,0 +1,77 @@
+package checker_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"damaskpick.example/damaskpick/internal/web/checker"
+)
+
+// scan scans a text in pieces of the given size.
+func scan(text string, size int) error {
+	var scanner checker.Scanner
+	for len(text) > 0 {
+		n := min(size, len(text))
+		if err := scanner.Scan([]byte(text[:n])); err != nil {
+			return err
+		}
+		text = text[n:]
+	}
+	return nil
+}
+
+// faultOf returns the fault of a HeadError, and zero for other errors.
+func faultOf(err error) checker.Fault {
+	var headErr checker.HeadError
+	errors.As(err, &headErr)
+	return headErr.Fault
+}
+
+// TestScanner guards against passing an invalid head, rejecting a valid one, and judging a head by the pieces in which it is read.
+func TestScanner(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+	tests := []struct {
+		name, text string
+		want       checker.Fault
+	}{
+		{"sound", sound, 0},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", 0},
+		{"lines that end with a line feed", "HTTP/1.1 200 OK\nA: b\n\n", 0},
+		{"lowest status", "HTTP/1.1 100 Continue\r\n\r\n" + sound, 0},
+		{"highest status", "HTTP/1.1 599 Failed\r\n\r\n", 0},
+		{"no reason", "HTTP/1.1 200\r\n\r\n", 0},
+		{"reason beyond ASCII", "HTTP/1.1 200 \xe9t\xe9\tOK\r\n\r\n", 0},
+		{"bytes behind the head", sound + "HTTP/1.1 000\r\n \x00:", 0},
+		{"status 000", "HTTP/1.1 000 None\r\n\r\n", checker.StatusLine},
+		{"status 099", "HTTP/1.1 099 Low\r\n\r\n", checker.StatusLine},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n", checker.StatusLine},
+		{"status 600", "HTTP/1.1 600 High\r\n\r\n", checker.StatusLine},
+		{"status with a sign", "HTTP/1.1 +20 Sign\r\n\r\n", checker.StatusLine},
+		{"status of two digits", "HTTP/1.1 20 Short\r\n\r\n", checker.StatusLine},
+		{"status of four digits", "HTTP/1.1 2000 Long\r\n\r\n", checker.StatusLine},
+		{"empty status line", "\r\n" + sound, checker.StatusLine},
+		{"no status line", "Content-Length: 2\r\n\r\n", checker.StatusLine},
+		{"HTTP/2", "HTTP/2.0 200 OK\r\n\r\n", checker.StatusLine},
+		{"version without a digit", "HTTP/1. 200 OK\r\n\r\n", checker.StatusLine},
+		{"two spaces", "HTTP/1.1  200 OK\r\n\r\n", checker.StatusLine},
+		{"control byte in the reason", "HTTP/1.1 200 O\rK\r\n\r\n", checker.StatusLine},
+		{"invalid head behind an interim one", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 000 None\r\n", checker.StatusLine},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for size := 1; size <= len(tt.text); size++ {
+				err := scan(tt.text, size)
+				assert.Equal(t, faultOf(err), tt.want, "pieces of %d: %v", size, err)
+				assert.Equal(t, err == nil, tt.want == 0, "pieces of %d: %v", size, err)
+			}
+		})
+	}
+}
+
+// TestLongLine guards against keeping a line without end.
+func TestLongLine(t *testing.T) {
+	assert.ErrorContains(t, scan("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", 1<<20), 4<<10), "too long")
+}
--- /dev/null
+++ b/internal/web/checker/head.go
@@ -0,0 +1,110 @@
+// Package checker checks the heads of HTTP/1.x responses against RFC 9110 and RFC 9112 while they are read. Package net/http also reads heads that others
+// read differently, such as one with a status of 000. A node must not forward these: its caller could take another part of the bytes for the answer.
+package checker
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+// Fault is the part of a head that is invalid.
+type Fault uint8
+
+// Faults.
+const (
+	// StatusLine means that the version, the status or the reason is invalid, or the line is none.
+	StatusLine Fault = iota + 1
+)
+
+// String returns the name used in logs and metrics.
+func (f Fault) String() string {
+	names := [...]string{"None", "StatusLine"}
+	if int(f) >= len(names) {
+		return "Unknown"
+	}
+	return names[f]
+}
+
+// HeadError is returned for an invalid head.
+type HeadError struct {
+	Fault Fault
+	// Line is the beginning of the line that is invalid.
+	Line string
+}
+
+// maxQuotedBytes bounds the part of a line that an error quotes.
+const maxQuotedBytes = 80
+
+func newStatusLineError(line []byte) error {
+	return HeadError{Fault: StatusLine, Line: string(line[:min(len(line), maxQuotedBytes)])}
+}
+
+// Error implements error.
+func (e HeadError) Error() string {
+	return fmt.Sprintf("invalid head of a response: %s: %q", e.Fault, e.Line)
+}
+
+// Head is what the lines of a head that were read so far say. The zero value is a head of which none was read.
+type Head struct {
+	// status is zero before the status line, and from 100 to 599 after it.
+	status int
+	// ended is set after the empty line that ends the head of a final response.
+	ended bool
+}
+
+// WithLine returns the head after one more line, which has no line end. The empty line after an interim response returns the zero value, because another
+// head follows.
+func (h Head) WithLine(line []byte) (Head, error) {
+	switch {
+	case h.status == 0:
+		return h.withStatusLine(line)
+	case len(line) > 0:
+		return h, nil
+	case h.status < http.StatusOK:
+		return Head{}, nil
+	default:
+		h.ended = true
+		return h, nil
+	}
+}
+
+// statusSize is the number of digits of a status.
+const statusSize = 3
+
+// withStatusLine parses "HTTP/1.x", a space, the status and, optionally, a space and a reason (RFC 9112, section 4). A status from 100 to 599 is valid (RFC
+// 9110, section 15). Status 101 is not: no request asks for another protocol.
+func (h Head) withStatusLine(line []byte) (Head, error) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	minor, isVersion1 := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !isVersion1 || len(minor) != 1 || !isDigit(minor[0]) || len(rest) < statusSize {
+		return h, newStatusLineError(line)
+	}
+	for _, c := range rest[:statusSize] {
+		if !isDigit(c) {
+			return h, newStatusLineError(line)
+		}
+		h.status = 10*h.status + int(c-'0')
+	}
+	const lowest, highest = 100, 599
+	if h.status < lowest || h.status > highest || h.status == http.StatusSwitchingProtocols {
+		return h, newStatusLineError(line)
+	}
+	if reason := rest[statusSize:]; len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
+		return h, newStatusLineError(line)
+	}
+	return h, nil
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isText reports whether text has no control byte except tabs.
+func isText(text []byte) bool {
+	const deleteByte = 0x7f
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == deleteByte {
+			return false
+		}
+	}
+	return true
+}
