Reject answers with lines in their head that are no fields

What callers saw: an answer whose head had a space in the name of a field, or between the name and the colon, came as 200 without that line. Where the line was "Content-Length : 5" or "Transfer-Encoding : chunked", the body had another end than the engine meant, and the caller got bytes from behind the answer, or chunk sizes, as a part of the body. Folded lines were joined.

Cause: net/http keeps fields whose names have spaces under their raw names, so that no code found them, and leaves them out when it writes a head.

Change: the checker requires of each line a token, a colon and a value without control bytes (RFC 9112, section 5; RFC 9110, section 5.5), in interim responses too. Folded lines are rejected with a 502 as section 5.2 allows. Section 5.1 has proxies remove spaces before the colon before they forward a response; it is rejected here instead of forwarded, because a reader on the engine's side that ignores the line has already meant another body.

--- a/internal/fleet/listener/broken_heads_test.go
+++ b/internal/fleet/listener/broken_heads_test.go
@@ -28,11 +28,16 @@
 		{"/stream/1", false, received{200, "r1", "e2.r1", events(1, eventCount), true}, 1},
 		{"/stream/1", true, unknown, 0},
 	}
+	endings := []struct {
+		name string
+		end  ending
+	}{{"kept", keepOpen}, {"closed", sendFIN}}
 	for _, h := range heads {
-		for _, route := range routes {
-			t.Run(fmt.Sprintf("%s%s/once=%t", h.name, route.path, route.once), func(t *testing.T) {
+		for i := range len(routes) * len(endings) {
+			route, ending := routes[i/len(endings)], endings[i%len(endings)]
+			t.Run(fmt.Sprintf("%s%s/once=%t/%s", h.name, route.path, route.once, ending.name), func(t *testing.T) {
 				t.Parallel()
-				f := startFront(t, startRawEngine(t, reply{text: h.text}, ownReply()).endpoint(), route.once)
+				f := startFront(t, startRawEngine(t, reply{text: h.text, end: ending.end}, ownReply()).endpoint(), route.once)
 				assert.DeepEqual(t, f.call(t, route.path, "r1", callTimeout), route.want)
 				assert.Equal(t, len(f.second.Runs()), route.secondRuns)
 				next := received{Status: 200, ID: "r2", Signature: "raw", Body: events(1, 1), Complete: true}
@@ -93,3 +98,93 @@
 		})
 	}
 }
+
+// withFields returns an answer with additional lines in its head, which has no length otherwise.
+func withFields(lines, body string) string { return head + lines + "\r\n" + body }
+
+// TestInvalidFields guards against a line of a head that is no field: the line would be passed on, or left out although it says where the body ends.
+func TestInvalidFields(t *testing.T) {
+	const length, body = "Content-Length: 5\r\n", "first"
+	testBrokenHeads(t, []brokenHead{
+		{"space before the colon", withFields(length+"X-A : b\r\n", body)},
+		{"tab before the colon", withFields(length+"X-A\t: b\r\n", body)},
+		{"space in the name", withFields(length+"X A: b\r\n", body)},
+		{"length with a space before the colon", withFields("Content-Length : 5\r\n", body+"behind")},
+		{"chunks with a space before the colon", withFields("Transfer-Encoding : chunked\r\n", chunk(body)+"0\r\n\r\n")},
+		{"id with a space before the colon", strings.Replace(withFields(length, body), "Request-Id:", "Request-Id :", 1)},
+		{"control byte in the name", withFields(length+"X\x01A: b\r\n", body)},
+		{"zero byte in the name", withFields(length+"X\x00A: b\r\n", body)},
+		{"delete byte in the name", withFields(length+"X\x7fA: b\r\n", body)},
+		{"byte beyond ASCII in the name", withFields(length+"X\xe9A: b\r\n", body)},
+		{"separator in the name", withFields(length+"X(A): b\r\n", body)},
+		{"empty name", withFields(length+": b\r\n", body)},
+		{"no colon", withFields(length+"nothing\r\n", body)},
+		{"folded line", withFields(length+"X-A: b\r\n c\r\n", body)},
+		{"folded length", withFields("Content-Length:\r\n 5\r\n", body)},
+		{"line of spaces", withFields(length+"  \r\n", body)},
+		{"space before the first name", strings.Replace(withFields(length, body), "Request-Id", " Request-Id", 1)},
+		{"control byte in the value", withFields(length+"X-A: b\x01\r\n", body)},
+		{"zero byte in the value", withFields(length+"X-A: b\x00c\r\n", body)},
+		{"carriage return in the value", withFields(length+"X-A: b\rX-B: c\r\n", body)},
+		{"delete byte in the value", withFields(length+"X-A: b\x7f\r\n", body)},
+		{"in an interim response", "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n" + withFields(length, body)},
+	})
+}
+
+// TestValidHeads guards against rejecting an answer whose head is unusual but means the same to everyone.
+func TestValidHeads(t *testing.T) {
+	const body = "first"
+	answered := received{200, "r1", "raw", body, true}
+	tests := []struct {
+		name, text string
+		want       received
+	}{
+		{"length twice", withFields("Content-Length: 5\r\nContent-Length: 5\r\n", body), answered},
+		{"white space around the length", withFields("Content-Length:\t 5 \t\r\n", body), answered},
+		{"no white space", withFields("Content-Length:5\r\n", body), answered},
+		{"letters of any case", withFields("transfer-encoding: Chunked\r\n", chunk(body)+"0\r\n\r\n"), answered},
+		{"empty value", withFields("X-A:\r\nContent-Length: 5\r\n", body), answered},
+		{"all bytes of names", withFields("!#$%&'*+-.^_`|~09azAZ: b\r\nContent-Length: 5\r\n", body), answered},
+		{"bytes beyond ASCII in the value", withFields("X-A: \xe9\tb\r\nContent-Length: 5\r\n", body), answered},
+		{"lines that end with a line feed", strings.ReplaceAll(withFields("Content-Length: 5\r\n", body), "\r\n", "\n"), answered},
+		{"trailer", withFields("Transfer-Encoding: chunked\r\nTrailer: X-A\r\n", chunk(body)+"0\r\nX-A: b\r\n\r\n"), answered},
+		{"interim response of length 0", "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" + withFields("Content-Length: 5\r\n", body), answered},
+		{"204 of length 0", strings.Replace(withFields("Content-Length: 0\r\n", ""), "200 OK", "204 None", 1), received{204, "r1", "raw", "", true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFront(t, startRawEngine(t, reply{text: tt.text}).endpoint(), false)
+			assert.DeepEqual(t, f.call(t, "/book/1", "r1", callTimeout), tt.want)
+		})
+	}
+}
+
+// TestTrailers guards against trailers that change the answer: they come behind a complete body and are not passed on.
+func TestTrailers(t *testing.T) {
+	const body = "first"
+	unknown := received{Status: 502, Body: "the request may have run\n", Complete: true}
+	answered := received{200, "r1", "raw", body, true}
+	tests := []struct {
+		name, trailer string
+		want          received
+	}{
+		{"valid", "X-A: b\r\n", answered},
+		{"length", "Content-Length: 1\r\n", answered},
+		{"space in the name", "X A: b\r\n", answered},
+		{"space before the colon", "X-A : b\r\n", answered},
+		{"folded line", "X-A: b\r\n c\r\n", answered},
+		{"control byte in the name", "X\x01A: b\r\n", unknown},
+		{"control byte in the value", "X-A: b\x01\r\n", unknown},
+		{"no colon", "nothing\r\n", unknown},
+		{"status line", "HTTP/1.1 200 OK\r\n", unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFront(t, startRawEngine(t, reply{text: chunked + chunk(body) + "0\r\n" + tt.trailer + "\r\n"}, ownReply()).endpoint(), false)
+			assert.DeepEqual(t, f.call(t, "/book/1", "r1", callTimeout), tt.want)
+			assert.DeepEqual(t, f.call(t, "/book/1", "r2", callTimeout), received{200, "r2", "raw", events(1, 1), true})
+		})
+	}
+}
--- a/internal/web/checker/checker_test.go
+++ b/internal/web/checker/checker_test.go
@@ -59,6 +59,21 @@
 		{"two spaces", "HTTP/1.1  200 OK\r\n\r\n", checker.StatusLine},
 		{"control byte in the reason", "HTTP/1.1 200 O\rK\r\n\r\n", checker.StatusLine},
 		{"invalid head behind an interim one", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 000 None\r\n", checker.StatusLine},
+		{"length twice", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nContent-Length:2 \r\n\r\n", 0},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\nTrailer: A, B\r\n\r\n", 0},
+		{"304 with a length", "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n", 0},
+		{"204 of length 0", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 0},
+		{"empty value", "HTTP/1.1 200 OK\r\nA:\r\nB: \xe9\t\r\n\r\n", 0},
+		{"space before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n", checker.FieldName},
+		{"space in the name", "HTTP/1.1 200 OK\r\nA B: c\r\n\r\n", checker.FieldName},
+		{"control byte in the name", "HTTP/1.1 200 OK\r\nA\x00: c\r\n\r\n", checker.FieldName},
+		{"byte beyond ASCII in the name", "HTTP/1.1 200 OK\r\nA\xe9: c\r\n\r\n", checker.FieldName},
+		{"empty name", "HTTP/1.1 200 OK\r\n: c\r\n\r\n", checker.FieldName},
+		{"no colon", "HTTP/1.1 200 OK\r\nA\r\n\r\n", checker.FieldName},
+		{"folded line", "HTTP/1.1 200 OK\r\nA: b\r\n\tc\r\n\r\n", checker.FoldedLine},
+		{"space before the first name", "HTTP/1.1 200 OK\r\n A: b\r\n\r\n", checker.FoldedLine},
+		{"carriage return in the value", "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n", checker.FieldValue},
+		{"zero byte in the value", "HTTP/1.1 200 OK\r\nA: b\x00\r\n\r\n", checker.FieldValue},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -71,6 +86,29 @@
 	}
 }
 
+// TestQuoted guards against an error that tells what a field holds, which may be a secret.
+func TestQuoted(t *testing.T) {
+	tests := []struct{ name, line, want string }{
+		{"status", "HTTP/1.1 000 None", "HTTP/1.1 000 None"},
+		{"name", "Set Cookie: secret", "Set Cookie"},
+		{"value", "Set-Cookie: secret\x00", "Set-Cookie"},
+		{"folded line", " secret", ""},
+		{"no colon", "secret", ""},
+		{"long name", strings.Repeat("x ", 100) + ": secret", strings.Repeat("x ", 40)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := "HTTP/1.1 200 OK\r\n" + tt.line + "\r\n"
+			if strings.HasPrefix(tt.line, "HTTP/") {
+				text = tt.line + "\r\n"
+			}
+			var headErr checker.HeadError
+			assert.Assert(t, errors.As(scan(text, len(text)), &headErr))
+			assert.Equal(t, headErr.Quoted, tt.want)
+		})
+	}
+}
+
 // TestLongLine guards against keeping a line without end.
 func TestLongLine(t *testing.T) {
 	assert.ErrorContains(t, scan("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", 1<<20), 4<<10), "too long")
--- a/internal/web/checker/head.go
+++ b/internal/web/checker/head.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Fault is the part of a head that is invalid.
@@ -15,11 +16,17 @@
 const (
 	// StatusLine means that the version, the status or the reason is invalid, or the line is none.
 	StatusLine Fault = iota + 1
+	// FieldName means that a line has no colon, or that the name before it is empty or has a byte that names must not have, such as a space.
+	FieldName
+	// FieldValue means that a value has a control byte.
+	FieldValue
+	// FoldedLine means that a line begins with white space. Some readers append it to the value of the line before, others ignore it or take it for a field.
+	FoldedLine
 )
 
 // String returns the name used in logs and metrics.
 func (f Fault) String() string {
-	names := [...]string{"None", "StatusLine"}
+	names := [...]string{"None", "StatusLine", "FieldName", "FieldValue", "FoldedLine"}
 	if int(f) >= len(names) {
 		return "Unknown"
 	}
@@ -29,20 +36,20 @@
 // HeadError is returned for an invalid head.
 type HeadError struct {
 	Fault Fault
-	// Line is the beginning of the line that is invalid.
-	Line string
+	// Quoted is the beginning of the invalid part. It is empty if the part may hold a secret, as values may.
+	Quoted string
 }
 
 // maxQuotedBytes bounds the part of a line that an error quotes.
 const maxQuotedBytes = 80
 
-func newStatusLineError(line []byte) error {
-	return HeadError{Fault: StatusLine, Line: string(line[:min(len(line), maxQuotedBytes)])}
+func newHeadError(fault Fault, quoted []byte) error {
+	return HeadError{Fault: fault, Quoted: string(quoted[:min(len(quoted), maxQuotedBytes)])}
 }
 
 // Error implements error.
 func (e HeadError) Error() string {
-	return fmt.Sprintf("invalid head of a response: %s: %q", e.Fault, e.Line)
+	return fmt.Sprintf("invalid head of a response: %s: %q", e.Fault, e.Quoted)
 }
 
 // Head is what the lines of a head that were read so far say. The zero value is a head of which none was read.
@@ -60,7 +67,7 @@
 	case h.status == 0:
 		return h.withStatusLine(line)
 	case len(line) > 0:
-		return h, nil
+		return h.withField(line)
 	case h.status < http.StatusOK:
 		return Head{}, nil
 	default:
@@ -78,24 +85,54 @@
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	minor, isVersion1 := bytes.CutPrefix(version, []byte("HTTP/1."))
 	if !isVersion1 || len(minor) != 1 || !isDigit(minor[0]) || len(rest) < statusSize {
-		return h, newStatusLineError(line)
+		return h, newHeadError(StatusLine, line)
 	}
 	for _, c := range rest[:statusSize] {
 		if !isDigit(c) {
-			return h, newStatusLineError(line)
+			return h, newHeadError(StatusLine, line)
 		}
 		h.status = 10*h.status + int(c-'0')
 	}
 	const lowest, highest = 100, 599
 	if h.status < lowest || h.status > highest || h.status == http.StatusSwitchingProtocols {
-		return h, newStatusLineError(line)
+		return h, newHeadError(StatusLine, line)
 	}
 	if reason := rest[statusSize:]; len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
-		return h, newStatusLineError(line)
+		return h, newHeadError(StatusLine, line)
 	}
 	return h, nil
 }
 
+// withField parses a name, a colon and a value (RFC 9112, section 5). Spaces before the colon are rejected and not removed, because readers that ignore the
+// line would find another end of the body.
+func (h Head) withField(line []byte) (Head, error) {
+	if line[0] == ' ' || line[0] == '\t' {
+		return h, newHeadError(FoldedLine, nil)
+	}
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found {
+		return h, newHeadError(FieldName, nil)
+	}
+	if !isToken(name) {
+		return h, newHeadError(FieldName, name)
+	}
+	if value = bytes.Trim(value, " \t"); !isText(value) {
+		return h, newHeadError(FieldValue, name)
+	}
+	return h, nil
+}
+
+// isToken reports whether a name has at least one byte and only those that names may have (RFC 9110, section 5.6.2).
+func isToken(name []byte) bool {
+	for _, c := range name {
+		isLetter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !isLetter && !isDigit(c) && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
 // isText reports whether text has no control byte except tabs.
