Reject answers that do not say clearly where they end

What callers saw: an answer with a length beside chunks, chunks in HTTP/1.0, or a 204 with a length or chunks came through, and so did the answer behind an interim response with a length or chunks, although others read these heads with another end of the body. The bytes between the two ends can hold another answer.

Cause: net/http drops a Content-Length beside chunks and a Transfer-Encoding in HTTP/1.0, and reads no body where the status has none, whatever the head states.

Change: the checker follows what a head states about its body (RFC 9112, sections 6.1 and 6.3; RFC 9110, section 8.6) and rejects what RFC 9112 calls an error or forbids: lengths that differ or are no numbers, a length beside chunks, other transfer codings, chunks in HTTP/1.0, a length or chunks in 1xx and 204, framing fields in trailers. Two equal lengths, and a length of 0 where there is no body, stay valid.

--- a/internal/fleet/forwarder/invalid_answer_test.go
+++ b/internal/fleet/forwarder/invalid_answer_test.go
@@ -53,6 +53,7 @@
 		{"status 000", "HTTP/1.1 000 None\r\n" + id + signature + "Content-Length: 0\r\n\r\n", modeler.Unsafe, "StatusLine"},
 		{"status 600", "HTTP/1.1 600 High\r\n" + id + signature + "Content-Length: 0\r\n\r\n", modeler.Unsafe, "StatusLine"},
 		{"space in a name", "HTTP/1.1 200 OK\r\n" + id + signature + "X A: b\r\nContent-Length: 0\r\n\r\n", modeler.Unsafe, "FieldName"},
+		{"length beside chunks", "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n", modeler.Unsafe, "Framing"},
 		{"no signature", "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 0\r\n\r\n", modeler.Unsafe, forwarder.UnsignedAnswer},
 		{"encoding", "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Encoding: gzip\r\n\r\n", modeler.Unsafe, forwarder.EncodedAnswer},
 		{"long", "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Length: 99999999\r\n\r\n", modeler.Unsafe, forwarder.LongAnswer},
--- a/internal/fleet/listener/broken_heads_test.go
+++ b/internal/fleet/listener/broken_heads_test.go
@@ -131,6 +131,39 @@
 	})
 }
 
+// TestInvalidFraming guards against a head that leaves open where the body ends, so that a part of it, or what follows it, could be taken for the answer.
+func TestInvalidFraming(t *testing.T) {
+	const body = "first"
+	chunks := chunk(body) + "0\r\n\r\n"
+	interim := func(fields string) string {
+		return "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n" + ownReply().text
+	}
+	noContent := func(fields string) string {
+		return strings.Replace(withFields(fields, ""), "200 OK", "204 No Content", 1)
+	}
+	testBrokenHeads(t, []brokenHead{
+		{"two lengths", withFields("Content-Length: 5\r\nContent-Length: 3\r\n", body)},
+		{"list of lengths", withFields("Content-Length: 5, 5\r\n", body)},
+		{"length with a sign", withFields("Content-Length: +5\r\n", body)},
+		{"negative length", withFields("Content-Length: -5\r\n", body)},
+		{"length with a space", withFields("Content-Length: 5 0\r\n", body)},
+		{"hexadecimal length", withFields("Content-Length: 0x5\r\n", body)},
+		{"empty length", withFields("Content-Length:\r\n", body)},
+		{"length beyond all", withFields("Content-Length: 99999999999999999999\r\n", body)},
+		{"length beside chunks", withFields("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", chunks)},
+		{"chunks beside length", withFields("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", chunks)},
+		{"another coding", withFields("Transfer-Encoding: gzip\r\n", body)},
+		{"another coding and chunks", withFields("Transfer-Encoding: gzip, chunked\r\n", chunks)},
+		{"chunks twice", withFields("Transfer-Encoding: chunked, chunked\r\n", chunks)},
+		{"two codings", withFields("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", chunks)},
+		{"chunks in HTTP/1.0", strings.Replace(withFields("Transfer-Encoding: chunked\r\n", chunks), "HTTP/1.1", "HTTP/1.0", 1)},
+		{"interim response with a length", interim("Content-Length: 5\r\n")},
+		{"interim response with chunks", interim("Transfer-Encoding: chunked\r\n")},
+		{"204 with a length", noContent("Content-Length: 5\r\n")},
+		{"204 with chunks", noContent("Transfer-Encoding: chunked\r\n")},
+	})
+}
+
 // TestValidHeads guards against rejecting an answer whose head is unusual but means the same to everyone.
 func TestValidHeads(t *testing.T) {
 	const body = "first"
--- a/internal/web/checker/checker_test.go
+++ b/internal/web/checker/checker_test.go
@@ -1,7 +1,9 @@
 package checker_test
 
 import (
+	"bufio"
 	"errors"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -74,6 +76,18 @@
 		{"space before the first name", "HTTP/1.1 200 OK\r\n A: b\r\n\r\n", checker.FoldedLine},
 		{"carriage return in the value", "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n", checker.FieldValue},
 		{"zero byte in the value", "HTTP/1.1 200 OK\r\nA: b\x00\r\n\r\n", checker.FieldValue},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n", checker.Framing},
+		{"length with a sign", "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\n", checker.Framing},
+		{"length with a space", "HTTP/1.1 200 OK\r\nContent-Length: 2 3\r\n\r\n", checker.Framing},
+		{"empty length", "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n", checker.Framing},
+		{"length beside chunks", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", checker.Framing},
+		{"chunks beside length", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n", checker.Framing},
+		{"chunks twice", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", checker.Framing},
+		{"another coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", checker.Framing},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", checker.Framing},
+		{"204 with a length", "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n", checker.Framing},
+		{"interim response with chunks", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + sound, checker.Framing},
+		{"length in a trailer", "HTTP/1.1 200 OK\r\nTrailer: A, content-length\r\n\r\n", checker.Framing},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -94,6 +108,7 @@
 		{"value", "Set-Cookie: secret\x00", "Set-Cookie"},
 		{"folded line", " secret", ""},
 		{"no colon", "secret", ""},
+		{"framing", "Content-Length: -1", "Content-Length: -1"},
 		{"long name", strings.Repeat("x ", 100) + ": secret", strings.Repeat("x ", 40)},
 	}
 	for _, tt := range tests {
@@ -113,3 +128,27 @@
 func TestLongLine(t *testing.T) {
 	assert.ErrorContains(t, scan("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", 1<<20), 4<<10), "too long")
 }
+
+// FuzzScanner looks for a final head that the scanner passes and net/http rejects, or whose status the two read differently.
+func FuzzScanner(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.0 204\r\n\r\n", "HTTP/1.1 000 None\r\n\r\n", "HTTP/1.1 200 OK\r\nA : b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\nA: b\n c\n\n",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, head string) {
+		end := strings.LastIndex(head, "\n")
+		if end < 0 || scan(head, 7) != nil {
+			return
+		}
+		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil)
+		if err != nil {
+			// The head may have no end.
+			assert.Assert(t, !strings.Contains(strings.ReplaceAll(head, "\r\n", "\n"), "\n\n"), "%v", err)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		assert.Assert(t, response.StatusCode >= 100 && response.StatusCode <= 599, "%d", response.StatusCode)
+	})
+}
--- a/internal/web/checker/head.go
+++ b/internal/web/checker/head.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
@@ -22,11 +23,13 @@
 	FieldValue
 	// FoldedLine means that a line begins with white space. Some readers append it to the value of the line before, others ignore it or take it for a field.
 	FoldedLine
+	// Framing means that the head does not say clearly where the body ends.
+	Framing
 )
 
 // String returns the name used in logs and metrics.
 func (f Fault) String() string {
-	names := [...]string{"None", "StatusLine", "FieldName", "FieldValue", "FoldedLine"}
+	names := [...]string{"None", "StatusLine", "FieldName", "FieldValue", "FoldedLine", "Framing"}
 	if int(f) >= len(names) {
 		return "Unknown"
 	}
@@ -56,6 +59,12 @@
 type Head struct {
 	// status is zero before the status line, and from 100 to 599 after it.
 	status int
+	// oldVersion is set for HTTP/1.0, which has no chunks.
+	oldVersion bool
+	// length is the value of Content-Length, and empty if there was none.
+	length string
+	// chunked is set after a Transfer-Encoding. There is no length then.
+	chunked bool
 	// ended is set after the empty line that ends the head of a final response.
 	ended bool
 }
@@ -87,6 +96,7 @@
 	if !isVersion1 || len(minor) != 1 || !isDigit(minor[0]) || len(rest) < statusSize {
 		return h, newHeadError(StatusLine, line)
 	}
+	h.oldVersion = minor[0] == '0'
 	for _, c := range rest[:statusSize] {
 		if !isDigit(c) {
 			return h, newHeadError(StatusLine, line)
@@ -119,9 +129,58 @@
 	if value = bytes.Trim(value, " \t"); !isText(value) {
 		return h, newHeadError(FieldValue, name)
 	}
+	valid := true
+	switch {
+	case isName(name, "Content-Length"):
+		h, valid = h.withLength(string(value))
+	case isName(name, "Transfer-Encoding"):
+		h, valid = h.withEncoding(string(value))
+	case isName(name, "Trailer"):
+		valid = !namesFraming(string(value))
+	}
+	if !valid {
+		return h, newHeadError(Framing, line)
+	}
 	return h, nil
 }
 
+// isName reports whether a field has a name, in letters of any case.
+func isName(field []byte, name string) bool {
+	return len(field) == len(name) && strings.EqualFold(string(field), name)
+}
+
+// withLength returns the head with a Content-Length, and whether it is valid: it has only digits, no other length and no chunks are stated (RFC 9112, section
+// 6.3), and it is zero in responses without a body (RFC 9110, section 8.6).
+func (h Head) withLength(value string) (Head, bool) {
+	const sizeBits = 63
+	length, err := strconv.ParseUint(value, 10, sizeBits)
+	valid := err == nil && !h.chunked && (h.length == "" || h.length == value) && (length == 0 || !h.withoutBody())
+	h.length = value
+	return h, valid
+}
+
+// withEncoding returns the head with a Transfer-Encoding, and whether it is valid: it is that of chunks and the only one, in a response of HTTP/1.1 that may
+// have a body, without a length (RFC 9112, sections 6.1 and 6.3).
+func (h Head) withEncoding(value string) (Head, bool) {
+	valid := strings.EqualFold(value, "chunked") && !h.chunked && h.length == "" && !h.oldVersion && !h.withoutBody()
+	h.chunked = true
+	return h, valid
+}
+
+// withoutBody reports whether the status is that of responses which never have a body.
+func (h Head) withoutBody() bool { return h.status < http.StatusOK || h.status == http.StatusNoContent }
+
+// namesFraming reports whether a list of trailers names a field that says where the body ends, which must not come after the body.
+func namesFraming(trailers string) bool {
+	for name := range strings.SplitSeq(trailers, ",") {
+		switch http.CanonicalHeaderKey(strings.Trim(name, " \t")) {
+		case "Content-Length", "Transfer-Encoding", "Trailer":
+			return true
+		}
+	}
+	return false
+}
+
 // isToken reports whether a name has at least one byte and only those that names may have (RFC 9110, section 5.6.2).
 func isToken(name []byte) bool {
 	for _, c := range name {
