Check the heads of responses to damaskpick serve

What callers saw: `serve` reads engines and plain services with net/http too. A service's status of 600 and answers whose heads had spaces in names, folded lines or a length beside chunks came through as they were read; the statuses 000, 101 and "+20" were recorded as the known outcome of a call with a key, and repeated as an error of the node to each later attempt. An engine's invalid status counted as a refusal, after which nothing has run.

Cause: the clients took what net/http returns for a response.

Change: checker.Transport is an http.Transport whose connections check each head as they read it. invoker and streamer use it. An invalid head is the new failure Malformed of a call and the failure CutShort of a stream or an order, neither of which promises that nothing ran, nor says that the endpoint has died. The failure and the reason stand in the log line "attempt failed" of the request.

--- a/internal/endpoint/invoker/client.go
+++ b/internal/endpoint/invoker/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/control/modeler"
+	"damaskpick.example/damaskpick/internal/web/checker"
 )
 
 // Default values of Options.
@@ -35,7 +36,7 @@
 type Client struct {
 	options Options
 	// unpooled opens a new connection for each call; pooled reuses connections and is used for idempotent calls.
-	unpooled, pooled *http.Transport
+	unpooled, pooled checker.Transport
 }
 
 // New returns a client and a function that closes its idle connections. It fails if an option is negative.
@@ -52,8 +53,8 @@
 	d := &dialer{net.Dialer{Timeout: options.DialTimeout}}
 	c := &Client{
 		options:  options,
-		unpooled: &http.Transport{DialContext: d.dial, DisableCompression: true, DisableKeepAlives: true},
-		pooled:   &http.Transport{DialContext: d.dial, DisableCompression: true, IdleConnTimeout: 30 * time.Second},
+		unpooled: checker.NewTransport(&http.Transport{DialContext: d.dial, DisableCompression: true, DisableKeepAlives: true}),
+		pooled:   checker.NewTransport(&http.Transport{DialContext: d.dial, DisableCompression: true, IdleConnTimeout: 30 * time.Second}),
 	}
 	return c, c.pooled.CloseIdleConnections, nil
 }
@@ -103,7 +104,7 @@
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		ran := use.seal()
-		return Response{}, ran, &Error{Failure: failureOf(ctx, use), Address: grant.Address, Err: err}
+		return Response{}, ran, &Error{Failure: failureOf(ctx, use, err), Address: grant.Address, Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := c.read(ctx, grant, response)
@@ -119,7 +120,11 @@
 
 // gotConn is the GotConn hook of the call.
 func (u *connectionUse) gotConn(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(*connection); ok {
+	checked, ok := info.Conn.(*checker.Conn)
+	if !ok {
+		return
+	}
+	if conn, ok := checked.Conn.(*connection); ok {
 		u.conn, u.writtenBefore = conn, conn.bytesWritten()
 	}
 }
@@ -128,10 +133,13 @@
 func (u *connectionUse) seal() Ran { return u.conn != nil && Ran(u.conn.seal(u.writtenBefore)) }
 
 // failureOf classifies an error of the transport.
-func failureOf(ctx context.Context, use connectionUse) Failure {
+func failureOf(ctx context.Context, use connectionUse, err error) Failure {
+	var headErr checker.HeadError
 	switch {
 	case ctx.Err() != nil:
 		return Abandoned
+	case errors.As(err, &headErr):
+		return Malformed
 	case use.conn == nil:
 		return NotConnected
 	default:
--- a/internal/endpoint/invoker/failure.go
+++ b/internal/endpoint/invoker/failure.go
@@ -22,11 +22,13 @@
 	Abandoned
 	// Invalid means that the request cannot be sent.
 	Invalid
+	// Malformed means that the head of the response is invalid.
+	Malformed
 )
 
 // String returns the name used in logs and metrics.
 func (f Failure) String() string {
-	names := [...]string{"None", "NotConnected", "Died", "Mismatched", "TooLarge", "Abandoned", "Invalid"}
+	names := [...]string{"None", "NotConnected", "Died", "Mismatched", "TooLarge", "Abandoned", "Invalid", "Malformed"}
 	if int(f) >= len(names) {
 		return "Unknown"
 	}
--- a/internal/endpoint/streamer/client.go
+++ b/internal/endpoint/streamer/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/control/modeler"
+	"damaskpick.example/damaskpick/internal/web/checker"
 )
 
 // Default values of Options. DefaultChunkGap is four heartbeat intervals of 500 ms: after three lost heartbeats, the next is due when the
@@ -40,7 +41,7 @@
 	options Options
 	// streams opens a new connection for each stream. A pooled connection may be unresponsive, which would be detected only after
 	// ChunkGap; a new one costs one round trip.
-	streams *http.Transport
+	streams checker.Transport
 	// control is the HTTP client for Cancel, Requests and Load. It reuses connections.
 	control *http.Client
 }
@@ -58,7 +59,7 @@
 	d := &dialer{Dialer: net.Dialer{Timeout: options.DialTimeout}, gap: options.ChunkGap}
 	c := &Client{
 		options: options,
-		streams: &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true},
+		streams: checker.NewTransport(&http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true}),
 		control: newControl(options, &d.Dialer),
 	}
 	return c, c.control.CloseIdleConnections, nil
@@ -149,7 +150,11 @@
 // traceContext returns the context of the stream with a hook that records the connection.
 func (s *Stream) traceContext() context.Context {
 	return httptrace.WithClientTrace(s.ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { s.conn, _ = info.Conn.(*connection) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if checked, ok := info.Conn.(*checker.Conn); ok {
+				s.conn, _ = checked.Conn.(*connection)
+			}
+		},
 	})
 }
 
--- a/internal/endpoint/streamer/control.go
+++ b/internal/endpoint/streamer/control.go
@@ -13,13 +13,16 @@
 	"time"
 
 	"damaskpick.example/damaskpick/internal/control/modeler"
+	"damaskpick.example/damaskpick/internal/web/checker"
 )
 
 // newControl returns the HTTP client for Cancel, Requests and Load. It reuses connections.
 func newControl(options Options, dialer *net.Dialer) *http.Client {
 	return &http.Client{
-		Timeout:       options.ControlTimeout,
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: 30 * time.Second},
+		Timeout: options.ControlTimeout,
+		Transport: checker.NewTransport(&http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: 30 * time.Second,
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -136,9 +139,12 @@
 func controlFailure(ctx context.Context, err error) Failure {
 	var operation *net.OpError
 	var timeout net.Error
+	var headErr checker.HeadError
 	switch {
 	case ctx.Err() != nil:
 		return Abandoned
+	case errors.As(err, &headErr):
+		return CutShort
 	case errors.As(err, &operation) && operation.Op == "dial":
 		return NotConnected
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/endpoint/streamer/stream.go
+++ b/internal/endpoint/streamer/stream.go
@@ -9,6 +9,7 @@
 	"io"
 
 	"damaskpick.example/damaskpick/internal/control/modeler"
+	"damaskpick.example/damaskpick/internal/web/checker"
 )
 
 // Chunk is one piece of a response.
@@ -190,7 +191,10 @@
 
 // transportError classifies an error of the transport.
 func (s *Stream) transportError(err error) error {
+	var headErr checker.HeadError
 	switch {
+	case errors.As(err, &headErr):
+		return s.fail(CutShort, err)
 	case s.conn != nil && s.conn.silent.Load():
 		return s.fail(Silent, fmt.Errorf("no byte for %v", s.conn.gap))
 	case s.conn == nil:
