--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -199,7 +199,7 @@
 	case errors.Is(err, dialer.ErrRequestUnwritten):
 		f.reportInvalid(p, CutAnswer, err)
 		return fallback
-	case errors.As(err, &headErr):
+	case errors.As(err, &headErr) && fallback == modeler.Broken:
 		return f.rejectAnswer(p, AnswerFault(headErr.Fault.String()), err)
 	case errors.Is(err, syscall.ETIMEDOUT) && fallback == modeler.Broken:
 		// The endpoint's host has acknowledged nothing for too long.
--- a/internal/fleet/forwarder/invalid_answer_test.go
+++ b/internal/fleet/forwarder/invalid_answer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +15,8 @@
 
 	"damaskpick.example/damaskpick/internal/fleet/forwarder"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/web/checker"
+	"damaskpick.example/damaskpick/platform"
 )
 
 // startRawServer starts a server that answers each request with the same bytes and then closes the connection. It returns the address.
@@ -84,6 +88,35 @@
 	}
 }
 
+// failingReserver is a Reserver whose reservations all fail.
+type failingReserver struct{ err error }
+
+func (r failingReserver) Reserve(context.Context, modeler.Endpoint, string, modeler.Tokens, time.Duration) error {
+	return r.err
+}
+func (failingReserver) Release(context.Context, modeler.Endpoint, string) error { return nil }
+
+// TestInvalidReservation guards against taking an invalid response to a reservation for an answer to the request, which was not sent and may be refused.
+func TestInvalidReservation(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+	}{
+		{"not free", platform.StatusError{Status: http.StatusConflict}},
+		{"invalid head", fmt.Errorf("reserve: %w", checker.HeadError{Fault: checker.StatusLine})},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.forward.Control, f.forward.Reserver = reservingControl{f.control}, failingReserver{tt.err}
+			f.forward.OnInvalidAnswer = func(answer forwarder.InvalidAnswer) { t.Errorf("reported %v", answer) }
+			result := f.forward.Serve(t.Context(), call(modeler.Stream, "/stream/1"), &sink{})
+			assert.Equal(t, result.Status, forwarder.Refused)
+			assert.DeepEqual(t, f.control.outcomes, []modeler.Outcome{modeler.Shed, modeler.Shed})
+		})
+	}
+}
+
 // startHalfClosingServer starts a server that answers a request before it has read the body, ends its side of the connection and resets it later.
 func startHalfClosingServer(t *testing.T, answer string) string {
 	t.Helper()
