--- a/internal/fleet/listener/broken_heads_test.go
+++ b/internal/fleet/listener/broken_heads_test.go
@@ -127,6 +127,9 @@
 		{"zero byte in the value", withFields(length+"X-A: b\x00c\r\n", body)},
 		{"carriage return in the value", withFields(length+"X-A: b\rX-B: c\r\n", body)},
 		{"delete byte in the value", withFields(length+"X-A: b\x7f\r\n", body)},
+		{"refusal", strings.Replace(withFields("Not-Executed: 1\r\nX A: b\r\n"+length, body), "200 OK", "503 Full", 1)},
+		{"answer to another request", strings.Replace(withFields(length+"X A: b\r\n", body), "{id}", "r0", 1) + ownReply().text},
+		{"behind an answer to another request", strings.Replace(withFields(length, body), "{id}", "r0", 1) + withFields(length+"X A: b\r\n", body)},
 		{"in an interim response", "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n" + withFields(length, body)},
 	})
 }
--- a/internal/fleet/listener/faulty_test.go
+++ b/internal/fleet/listener/faulty_test.go
@@ -230,6 +230,9 @@
 		{"success without events", "HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\nResponse-Signature: raw\r\n\r\n"},
 		{"text without a header", text},
 		{"unframed error", "HTTP/1.1 500 Failed\r\nRequest-Id: {id}\r\n\r\n" + text},
+		{"status 000 before a stream", strings.Replace(unframed, "200", "000", 1) + unframed + events(3, eventCount)},
+		{"space in the name of a field", head + "X A: b\r\n\r\n" + events(3, eventCount)},
+		{"length beside chunks", head + "Content-Length: 21\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(events(3, eventCount)) + "0\r\n\r\n"},
 		{"header inside the stream", unframed + "HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\nfail"},
 	}
 	for _, tt := range tests {
--- a/internal/proof/soaker/deployment_test.go
+++ b/internal/proof/soaker/deployment_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 
 	"damaskpick.example/damaskpick/internal/fleet/loader"
 	"damaskpick.example/damaskpick/internal/fleet/modeler"
+	"damaskpick.example/damaskpick/internal/web/checker"
 	"damaskpick.example/damaskpick/platform"
 	"damaskpick.example/damaskpick/platform/platformtest"
 )
@@ -326,7 +328,7 @@
 	written time.Time
 	code    int
 	body    string
-	// complete is set if the answer was read to its end without an error.
+	// complete is set if the answer has a valid head and was read to its end, which it states, without an error.
 	complete bool
 	ended    time.Time
 }
@@ -344,7 +346,7 @@
 func startCallers(d *deployment, count int, seed uint64) *callers {
 	c := &callers{
 		deployment: d, stop: make(chan struct{}),
-		client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		client: &http.Client{Timeout: 6 * time.Second, Transport: checker.NewTransport(&http.Transport{MaxIdleConnsPerHost: 8})},
 	}
 	for i := range count {
 		c.running.Go(func() { c.run(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
@@ -378,7 +380,8 @@
 	if err == nil {
 		var body []byte
 		body, err = io.ReadAll(response.Body)
-		a.code, a.body, a.complete = response.StatusCode, string(body), err == nil
+		framed := response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")
+		a.code, a.body, a.complete = response.StatusCode, string(body), err == nil && framed
 		_ = response.Body.Close()
 	}
 	a.ended = time.Now()
--- a/internal/proof/soaker/kept_callers_test.go
+++ b/internal/proof/soaker/kept_callers_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"damaskpick.example/damaskpick/internal/web/checker"
 	"damaskpick.example/damaskpick/platform/platformtest"
 )
 
@@ -74,9 +76,11 @@
 	name   string
 	random *rand.Rand
 	// conn is nil while the caller has no connection. node is the node that it is connected to, or tries next.
-	conn   net.Conn
+	conn   *checker.Conn
 	reader *bufio.Reader
 	node   int
+	// uploadBytes is the size of the bodies of requests in bytes; zero means platformtest.Payload.
+	uploadBytes int
 }
 
 func (c *keptCaller) run(ctx context.Context) {
@@ -112,7 +116,8 @@
 	if err != nil {
 		return false
 	}
-	c.conn, c.reader = conn, bufio.NewReader(conn)
+	c.conn = checker.NewConn(conn)
+	c.reader = bufio.NewReader(c.conn)
 	return true
 }
 
@@ -139,10 +144,14 @@
 		return a
 	}
 	request.Header.Set(platformtest.TimeoutHeader, strconv.FormatInt(answerTimeout.Milliseconds(), 10))
+	if c.uploadBytes > 0 {
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, c.uploadBytes))), int64(c.uploadBytes)
+	}
 	var data bytes.Buffer
 	if err := request.Write(&data); err != nil {
 		return a
 	}
+	conn.ExpectHead()
 	a.sent = time.Now()
 	_ = conn.SetDeadline(a.sent.Add(answerTimeout + lateAnswer))
 	if _, err := conn.Write(data.Bytes()); err == nil {
@@ -164,7 +173,8 @@
 	}
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	a.code, a.body, a.complete = response.StatusCode, string(body), err == nil
+	framed := response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")
+	a.code, a.body, a.complete = response.StatusCode, string(body), err == nil && framed
 	return err != nil || response.Close
 }
 
@@ -180,6 +190,9 @@
 		{"refusal", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", true, true},
 		{"cut answer with a length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", false, false},
 		{"cut answer in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false, false},
+		{"answer that only the connection ends", "HTTP/1.1 200 OK\r\n\r\nok", false, false},
+		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok", false, false},
+		{"space in a name", "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nok", false, false},
 		{"close without an answer", "", false, false},
 	}
 	for _, tt := range tests {
@@ -192,7 +205,8 @@
 				_ = server.Close()
 			}()
 			d := &deployment{instances: []*instance{{callerAddress: "127.0.0.1:1"}}}
-			c := &keptCaller{keptCallers: &keptCallers{deployment: d}, conn: client, reader: bufio.NewReader(client)}
+			conn := checker.NewConn(client)
+			c := &keptCaller{keptCallers: &keptCallers{deployment: d}, conn: conn, reader: bufio.NewReader(conn)}
 			a := c.call(t.Context(), "/stock/1", "r-1")
 			assert.Equal(t, a.complete, tt.complete)
 			assert.Equal(t, c.conn != nil, tt.kept)
--- a/internal/proof/soaker/raw_endpoint_test.go
+++ b/internal/proof/soaker/raw_endpoint_test.go
@@ -18,8 +18,17 @@
 // rawAnswer writes the bytes of the answer to a request and reports whether the connection can carry another one. It is closed otherwise.
 type rawAnswer func(conn net.Conn, request *http.Request) (kept bool)
 
-// startRawEndpoint starts an endpoint with an entry for a service that writes the bytes of its answers itself.
+// startRawEndpoint starts an endpoint with an entry for a service that writes the bytes of its answers itself, once it has read the body of the request.
 func startRawEndpoint(t *testing.T, d *deployment, id, service string, answer rawAnswer) {
+	t.Helper()
+	startEarlyEndpoint(t, d, id, service, func(conn net.Conn, request *http.Request) bool {
+		_, err := io.Copy(io.Discard, request.Body)
+		return err == nil && answer(conn, request)
+	})
+}
+
+// startEarlyEndpoint starts such an endpoint that answers before it has read the body. The answer must read it if it reports that the connection is kept.
+func startEarlyEndpoint(t *testing.T, d *deployment, id, service string, answer rawAnswer) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -30,10 +39,7 @@
 		defer func() { _ = conn.Close() }()
 		for reader := bufio.NewReader(conn); ; {
 			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			if _, err := io.Copy(io.Discard, request.Body); err != nil || !answer(conn, request) {
+			if err != nil || !answer(conn, request) {
 				return
 			}
 		}
