--- a/review/standins-3/resumed.go
+++ b/review/standins-3/resumed.go
@@ -27,7 +27,7 @@
 		"version": 3,
 		"routes": []map[string]any{{
 			"name": "read", "host": resumedHost, "pathPrefix": "/read/", "kind": "stream", "timeoutMs": 15000, "targetLatencyMs": 3000,
-			"gapTargetMs": 1000, "priority": 1, "service": resumedService, "maxAttempts": 2, "streamResume": true,
+			"gapTargetMs": 1000, "priority": 1, "service": resumedService, "maxAttempts": 2, "streamResume": true, "sessionAffinity": true,
 		}},
 		"services": []map[string]any{{
 			"name": resumedService, "healthCheck": "/health", "maxConnections": 300, "coldStartS": 0.0, "coldPerS": 0.0,
