--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -18,7 +18,7 @@
 		fmt.Fprintln(os.Stderr, runEngine(args[1], args[2] == "unframed"))
 		return exitNotRun
 	}
-	cases := map[string]func(*rig) (int, error){"resumed": resumed, "deadly": deadly}
+	cases := map[string]func(*rig) (int, error){"again": again, "resumed": resumed, "deadly": deadly}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD")
 		return exitNotRun
