Send a request again only on a connection that has not carried it

An engine that is faulty may send an answer a second time, where the next one is expected.

Cause: on a connection that is in use again, only the Request-Id tells a late copy from the answer that is due, and the node sends one id several times, because it must pass on the caller's. The copy of the refusal was taken for its answer, and a third attempt ran what the second had run.

Change: a call remembers the connections that have carried it, and dialer.Pool gives it another idle one, or a new one that replaces one of them.

Tests of dialer and forwarder pass with the race detector.

--- a/internal/fleet/dialer/dialer_test.go
+++ b/internal/fleet/dialer/dialer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -245,6 +246,52 @@
 	x.Close(true)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err = pool.Get(ctx, l.Addr().String())
+	_, err = pool.Get(ctx, l.Addr().String(), nil)
 	assert.Assert(t, err != nil, "the connection must not be reused")
 }
+
+// TestAvoided guards against a repeat of a request on a connection that has carried it, against a new connection while another one is idle, and against
+// one more connection than the endpoint had.
+func TestAvoided(t *testing.T) {
+	tests := []struct {
+		name string
+		// idle is the number of idle connections, and avoided the number of those that were used last and are avoided.
+		idle, avoided int
+		wantDialed    int64
+	}{{"none", 1, 0, 1}, {"only one", 1, 1, 2}, {"one of two", 2, 1, 2}, {"all", 2, 2, 3}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, _ := startServer(t, rawResponse("r1", "one"), rawResponse("r1", "two"), rawResponse("r1", "three"))
+			pool, closePool := dialer.NewPool(4)
+			defer closePool()
+			send := func(avoided []dialer.ConnID) *dialer.Exchange {
+				x, err := pool.Send(t.Context(), address, dialer.Outgoing{Method: http.MethodGet, URI: "/", Host: "h", Avoided: avoided})
+				assert.NilError(t, err)
+				response, err := x.ReadResponse(http.MethodGet, time.Second, func(http.Header) bool { return true })
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, response.Body)
+				assert.NilError(t, err)
+				return x
+			}
+			var open []*dialer.Exchange
+			for range tt.idle {
+				open = append(open, send(nil))
+			}
+			var avoided []dialer.ConnID
+			for i, x := range open {
+				x.Close(true)
+				if i >= tt.idle-tt.avoided {
+					avoided = append(avoided, x.ConnID())
+				}
+			}
+			x := send(avoided)
+			assert.Assert(t, !slices.Contains(avoided, x.ConnID()))
+			assert.Equal(t, pool.Dialed(), tt.wantDialed)
+			x.Close(true)
+			for range tt.idle + 1 {
+				defer send(nil).Close(true)
+			}
+			assert.Equal(t, pool.Dialed(), tt.wantDialed+1, "the pool must have as many idle connections as before")
+		})
+	}
+}
--- a/internal/fleet/dialer/exchange.go
+++ b/internal/fleet/dialer/exchange.go
@@ -40,6 +40,9 @@
 	Body              []byte
 	// MaxIdle bounds the idle connections that are kept to the endpoint. Zero means the bound of the pool.
 	MaxIdle int
+	// Avoided holds the connections on which the request was sent before. An endpoint may send a response twice: the late copy of a response to the
+	// earlier send has the same id as the response to this one.
+	Avoided []ConnID
 }
 
 // Exchange is a request that was sent on a connection, and its response. Close must be called once.
@@ -97,7 +100,7 @@
 // are written in the background, and errors in writing them are not returned. When ctx ends, the connection is closed, which tells the
 // endpoint that the response is no longer wanted.
 func (p *Pool) Send(ctx context.Context, address string, request Outgoing) (*Exchange, error) {
-	conn, err := p.Get(ctx, address)
+	conn, err := p.Get(ctx, address, request.Avoided)
 	if err != nil {
 		return nil, SendError{cause: fmt.Errorf("connect: %w", err)}
 	}
@@ -136,6 +139,9 @@
 	return b.Bytes()
 }
 
+// ConnID returns the id of the connection.
+func (x *Exchange) ConnID() ConnID { return x.conn.id }
+
 // Reused reports whether the connection carried an earlier request.
 func (x *Exchange) Reused() bool { return x.conn.Reused }
 
--- a/internal/fleet/dialer/pool.go
+++ b/internal/fleet/dialer/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -59,6 +60,8 @@
 	idle   map[string][]*Conn
 	closed bool
 	dialed int64
+	// lastID is the id of the connection that was opened last.
+	lastID ConnID
 }
 
 // NewPool returns a pool that keeps up to maxIdle idle connections to each address, and a function that closes the idle connections.
@@ -67,9 +70,13 @@
 	return p, p.close
 }
 
+// ConnID identifies a connection of a pool. Ids are not used again.
+type ConnID uint64
+
 // Conn is a connection to an endpoint. One goroutine uses it at a time.
 type Conn struct {
 	net.Conn
+	id     ConnID
 	Reader *bufio.Reader
 	// source is what Reader reads from.
 	source *responseReader
@@ -79,11 +86,15 @@
 	expires time.Time
 }
 
-// Get returns an idle connection to the address, or a new one if there is none.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// Get returns an idle connection to the address whose id is not in avoided, or a new one if there is none. A new one replaces one of the avoided: an
+// endpoint resets connections above its limit, and the request would count as one that may have run.
+func (p *Pool) Get(ctx context.Context, address string, avoided []ConnID) (*Conn, error) {
 	for {
-		conn := p.popIdle(address)
+		conn := p.popIdle(address, avoided)
 		if conn == nil {
+			if replaced := p.popIdle(address, nil); replaced != nil {
+				replaced.discard()
+			}
 			return p.dial(ctx, address)
 		}
 		if time.Now().Before(conn.expires) && conn.reusable() {
@@ -98,6 +109,8 @@
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	p.mu.Lock()
 	p.dialed++
+	p.lastID++
+	id := p.lastID
 	p.mu.Unlock()
 	dialer := net.Dialer{
 		Timeout: dialTimeout, Control: setUserTimeout,
@@ -108,7 +121,7 @@
 		return nil, err
 	}
 	source := &responseReader{reader: conn, left: math.MaxInt64}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(source, readBufferSize), source: source, address: address}, nil
+	return &Conn{Conn: conn, id: id, Reader: bufio.NewReaderSize(source, readBufferSize), source: source, address: address}, nil
 }
 
 // responseReader checks the heads of responses, and fails with errHeaderTooLong after a number of bytes. It is used by one goroutine at a time.
@@ -153,21 +166,23 @@
 	return p.dialed
 }
 
-// popIdle removes the most recently used idle connection of an address and returns it, or nil if there is none.
-func (p *Pool) popIdle(address string) *Conn {
+// popIdle removes the most recently used idle connection of an address that is not to be avoided and returns it, or nil if there is none.
+func (p *Pool) popIdle(address string, avoided []ConnID) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
-	}
-	conn := conns[len(conns)-1]
-	if conns = conns[:len(conns)-1]; len(conns) == 0 {
-		delete(p.idle, address)
-	} else {
-		p.idle[address] = conns
+	for i, conn := range slices.Backward(conns) {
+		if slices.Contains(avoided, conn.id) {
+			continue
+		}
+		if conns = slices.Delete(conns, i, i+1); len(conns) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = conns
+		}
+		return conn
 	}
-	return conn
+	return nil
 }
 
 // Put returns a connection to the pool after a complete response. keepAlive is the endpoint's Keep-Alive timeout, or zero if it sent none.
--- a/internal/fleet/forwarder/attempt.go
+++ b/internal/fleet/forwarder/attempt.go
@@ -66,6 +66,7 @@
 		return f.classifyError(ctx, p, err, modeler.Unreachable)
 	}
 	p.reached++
+	p.connections = append(p.connections, exchange.ConnID())
 	complete := false
 	defer func() { exchange.Close(complete) }()
 	guard := f.guard(p, id, exchange.Abort, f.silenceLimit(p, plan))
@@ -156,7 +157,7 @@
 	}
 	return dialer.Outgoing{
 		Method: p.call.Method, URI: p.call.URI, Host: p.call.Host, Header: f.Protocol.AttemptHeader(p.call.Header, attempt), Body: p.call.Body,
-		MaxIdle: f.maxIdle(p.call.Service),
+		MaxIdle: f.maxIdle(p.call.Service), Avoided: p.connections,
 	}
 }
 
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -157,6 +157,8 @@
 	call     Call
 	deadline time.Time
 	tried    []modeler.EndpointID
+	// connections holds the connections on which the call was sent. None of them carries it again.
+	connections []dialer.ConnID
 	// attempts counts all attempts and is limited by maxAttempts. possibleRuns counts those in which the endpoint may have run the request
 	// and is limited by the route's MaxRuns. It never exceeds reached, which never exceeds attempts.
 	attempts, possibleRuns int
