Tell all nodes of the probes of a quarantine

After five crashes, requests with the part are refused, and one is let through from time to time to see whether engines survive it. Each new coordinator let one through at once.

Cause: the schedule of probes was kept in the process of the coordinator. A digest said only that a probe had broken; a node that learned of it took that moment for the time of the probe, once. 30 s later each node took the next probe for due, whoever had placed it meanwhile. The number of quarantines, by which they grow, was lost in the same way.

Ruled out: nodes that place such requests before they know the quarantine (the five that count came through a node that had run since the beginning), and a quarantine that is lost (three requests after each of the probes were refused). The new log event ProbeChosen shows the probes.

Change: digests, heartbeats and the store carry the last probe, as a value that nodes merge by its numbers, and the number of quarantines. A coordinator that is new or has been paused chooses none for a second. A probe is told to all nodes before it is placed, so that none is unknown if the coordinator fails; one whose end nobody reported counts as made.

Tests that changed: TestProbe runs one more tick, in which the others have been told, and states that nothing is placed before; TestDigestSuspects and the codec tests have the new fields in place of Confirmed, which is derived and still read from nodes of earlier versions.

--- a/internal/fleet/elector/digest_test.go
+++ b/internal/fleet/elector/digest_test.go
@@ -136,7 +136,7 @@
 		{"request that broke once long ago", []modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now.Add(-time.Minute))}, nil},
 		{
 			"request whose quarantine has ended", []modeler.BrokenAttempts{modeler.BrokenAttempts{}.WithBrokenAttempt(now.Add(-5*time.Minute)).WithQuarantine(now.Add(-5*time.Minute), now.Add(-5*time.Minute), time.Minute, 2)},
-			[]modeler.Suspect{{Fingerprint: 1, Count: 1, Age: 5 * time.Minute}},
+			[]modeler.Suspect{{Fingerprint: 1, Count: 1, Age: 5 * time.Minute, Quarantines: 1}},
 		},
 		{
 			"many that broke once beside parts of two requests",
@@ -146,7 +146,7 @@
 		{"request that broke twice", []modeler.BrokenAttempts{{Count: 2}}, nil},
 		{
 			"quarantined request first", []modeler.BrokenAttempts{suspected, modeler.BrokenAttempts{}.WithQuarantine(now, now, time.Minute, 2)},
-			[]modeler.Suspect{{Fingerprint: 2, QuarantinedFor: time.Minute}, {Fingerprint: 1, Count: 2, SharedPart: true, Requests: requests}},
+			[]modeler.Suspect{{Fingerprint: 2, QuarantinedFor: time.Minute, Quarantines: 1}, {Fingerprint: 1, Count: 2, SharedPart: true, Requests: requests}},
 		},
 		{"many parts", slices.Repeat([]modeler.BrokenAttempts{suspected}, 100), manySuspects(16)},
 	}
@@ -318,3 +318,42 @@
 		})
 	}
 }
+
+// TestDigestWithProbe guards against a probe that is placed before the other nodes know of it, and against heartbeats without end.
+func TestDigestWithProbe(t *testing.T) {
+	tests := []struct {
+		name        string
+		coordinator modeler.NodeID
+		due         bool
+		digests     int
+	}{{"probe chosen", "self", true, 1}, {"none", "self", false, 0}, {"this node no longer coordinates", "a", true, 0}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			world := modeler.NewWorld(modeler.Node{ID: "self", Rank: 2})
+			node := modeler.Node{ID: "a", Incarnation: 1, Rank: 3}
+			if tt.coordinator == "a" {
+				node.Rank = 1
+			}
+			world.Nodes.Put("a", node.WithLastSeen(now.Add(time.Hour)))
+			system := elector.New(nil)
+			system.Run(&modeler.Tick{Now: now}, world)
+			assert.Equal(t, world.Coordinator, tt.coordinator)
+			now = now.Add(10 * time.Millisecond)
+			world.SuspectsDue = tt.due
+			tick := &modeler.Tick{Now: now}
+			system.Run(tick, world)
+			digests := 0
+			for _, effect := range tick.Effects() {
+				if send, ok := effect.(modeler.Send); ok {
+					if _, ok := send.Message.Body.(modeler.Digest); ok {
+						digests++
+					}
+				}
+			}
+			assert.Equal(t, digests, tt.digests)
+			assert.Equal(t, world.SuspectsSentAt.Equal(now), tt.digests > 0)
+			assert.Assert(t, !world.SuspectsDue)
+		})
+	}
+}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -290,6 +290,9 @@
 // coordinator, to its deputy while it does not respond, and at helloInterval also to the hubs, or to all nodes if they are hubs themselves. A node that has been silent for
 // silentNodeTimeout is sent a heartbeat only at helloInterval.
 func (s *System) beat(tick *modeler.Tick, world *modeler.World) {
+	if world.SuspectsDue {
+		s.nextBeat = tick.Now
+	}
 	if tick.Now.Before(s.nextBeat) && tick.Now.Before(s.nextHello) {
 		tick.WakeAt(earlier(s.nextBeat, s.nextHello))
 		return
@@ -300,11 +303,13 @@
 	var digest *modeler.Digest
 	if world.Coordinates() {
 		revision := world.BrokenAttempts.Revision()
-		if s.beats++; s.beats%digestEvery == 0 || hello || revision != s.suspectsRevision {
+		if s.beats++; s.beats%digestEvery == 0 || hello || world.SuspectsDue || revision != s.suspectsRevision {
 			s.suspectsRevision = revision
 			digest = s.digest(tick.Now, world)
+			world.SuspectsSentAt = tick.Now
 		}
 	}
+	world.SuspectsDue = false
 	var placing modeler.NodeID
 	if node, ok := PlacingNode(world, tick.Now); ok {
 		placing = node.ID
--- a/internal/fleet/follower/quarantines.go
+++ b/internal/fleet/follower/quarantines.go
@@ -23,12 +23,22 @@
 
 // quarantineRecord is the value of a quarantine's record in the store. Fingerprints are in hexadecimal.
 type quarantineRecord struct {
-	Count          int
-	SharedPart     bool
-	Companions     []string
-	Requests       []string
+	Count      int
+	SharedPart bool
+	Companions []string
+	Requests   []string
+	// Confirmed is set if the probe broke. Nodes of earlier versions write and read only this of the probe.
 	Confirmed      bool
 	UntilUnixMilli int64
+	Quarantines    int
+	Probe          probeRecord
+}
+
+// probeRecord is the last probe of a quarantine. Its time is left out, because the clock of another node may be wrong: a reader counts from its read.
+type probeRecord struct {
+	Quarantine, Number int
+	Request            modeler.RequestID
+	State              modeler.ProbeState
 }
 
 // Quarantines writes quarantines to the store and reads them. A keyed topic holds one record for each fingerprint.
@@ -55,7 +65,10 @@
 	suspect := effect.Suspect
 	value, err := json.Marshal(quarantineRecord{
 		Count: suspect.Count, SharedPart: suspect.SharedPart, Companions: formatFingerprints(suspect.Companions),
-		Requests: formatFingerprints(suspect.Requests), Confirmed: suspect.Confirmed, UntilUnixMilli: effect.Until.UnixMilli(),
+		Requests: formatFingerprints(suspect.Requests), Confirmed: suspect.Probe.State == modeler.ProbeBroke, UntilUnixMilli: effect.Until.UnixMilli(),
+		Quarantines: suspect.Quarantines, Probe: probeRecord{
+			Quarantine: suspect.Probe.Quarantine, Number: suspect.Probe.Number, Request: suspect.Probe.ID, State: suspect.Probe.State,
+		},
 	})
 	if err != nil {
 		panic(err) // cannot happen: the value holds only strings, numbers and booleans
@@ -185,6 +198,16 @@
 	return true
 }
 
+// probe returns the report of the probe, without its age.
+func (r quarantineRecord) probe() modeler.ProbeReport {
+	if r.Probe.State == modeler.ProbeNone {
+		return modeler.BrokenProbe(r.Confirmed)
+	}
+	return modeler.ProbeReport{
+		Quarantine: r.Probe.Quarantine, Number: r.Probe.Number, ID: r.Probe.Request, State: min(r.Probe.State, modeler.ProbeBroke),
+	}
+}
+
 func decodeQuarantine(record modeler.Record, now time.Time) (modeler.Suspect, error) {
 	fingerprint, err := parseFingerprint(record.Key)
 	if err != nil {
@@ -195,7 +218,7 @@
 		return modeler.Suspect{}, fmt.Errorf("decode quarantine %q: %w", record.Key, err)
 	}
 	suspect := modeler.Suspect{
-		Fingerprint: fingerprint, Count: r.Count, SharedPart: r.SharedPart, Confirmed: r.Confirmed,
+		Fingerprint: fingerprint, Count: r.Count, SharedPart: r.SharedPart, Quarantines: r.Quarantines, Probe: r.probe(),
 		QuarantinedFor: min(time.UnixMilli(r.UntilUnixMilli).Sub(now), maxStoredQuarantine),
 	}
 	for _, list := range []struct {
--- a/internal/fleet/follower/quarantines_test.go
+++ b/internal/fleet/follower/quarantines_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -83,7 +84,8 @@
 func TestQuarantinesOutliveTheirWriter(t *testing.T) {
 	request := modeler.Suspect{Fingerprint: 1 << 63, Count: 3}
 	part := modeler.Suspect{
-		Fingerprint: 8, Count: 4, SharedPart: true, Confirmed: true, Companions: []modeler.Fingerprint{8, 9}, Requests: []modeler.Fingerprint{1, 2, 3},
+		Fingerprint: 8, Count: 4, SharedPart: true, Companions: []modeler.Fingerprint{8, 9}, Requests: []modeler.Fingerprint{1, 2, 3},
+		Quarantines: 2, Probe: modeler.ProbeReport{Quarantine: 2, Number: 3, ID: "r/0/a", State: modeler.ProbeBroke},
 	}
 	minute := func(s modeler.Suspect) modeler.SaveQuarantine {
 		return modeler.SaveQuarantine{Suspect: s, Until: time.Now().Add(time.Minute)}
@@ -106,6 +108,13 @@
 			"ended", 0, []modeler.Effect{modeler.SaveQuarantine{Suspect: part, Until: time.Now().Add(-time.Second)}, minute(request)}, "",
 			[]modeler.Suspect{request}, 1,
 		},
+		{
+			"beside a record of an earlier version", 0, []modeler.Effect{minute(request)},
+			fmt.Sprintf(`{"Count":4,"SharedPart":true,"Confirmed":true,"UntilUnixMilli":%d}`, time.Now().Add(time.Minute).UnixMilli()),
+			[]modeler.Suspect{
+				{Fingerprint: 0xf00, Count: 4, SharedPart: true, Probe: modeler.ProbeReport{Quarantine: 1, Number: 1, State: modeler.ProbeBroke}}, request,
+			}, 2,
+		},
 		{"beside a record of another writer", 0, []modeler.Effect{minute(request)}, `{"Count":`, []modeler.Suspect{request}, 2},
 	}
 	for _, tt := range tests {
--- a/internal/fleet/messenger/decode.go
+++ b/internal/fleet/messenger/decode.go
@@ -186,6 +186,18 @@
 	return decoded
 }
 
+// decodeProbe returns the probe of a fingerprint, for a node of an earlier version one that broke just now if it states that.
+func decodeProbe(s *Suspect) modeler.ProbeReport {
+	probe := s.GetProbe()
+	if probe == nil {
+		return modeler.BrokenProbe(s.GetConfirmed())
+	}
+	return modeler.ProbeReport{
+		Quarantine: int(probe.GetQuarantine()), Number: int(probe.GetNumber()), ID: modeler.RequestID(probe.GetRequest()),
+		State: modeler.ProbeState(min(probe.GetState(), uint32(modeler.ProbeBroke))), Age: microseconds(probe.GetAge()),
+	}
+}
+
 func decodeSuspects(list []*Suspect) []modeler.Suspect {
 	if len(list) == 0 {
 		return nil
@@ -194,8 +206,9 @@
 	for _, s := range list {
 		decoded = append(decoded, modeler.Suspect{
 			Fingerprint: modeler.Fingerprint(s.GetFingerprint()), Count: int(s.GetCount()), SharedPart: s.GetSharedPart(),
-			Companions: decodeFingerprints(s.GetCompanions()), Confirmed: s.GetConfirmed(), Requests: decodeFingerprints(s.GetRequests()),
+			Companions: decodeFingerprints(s.GetCompanions()), Requests: decodeFingerprints(s.GetRequests()),
 			QuarantinedFor: microseconds(s.GetQuarantinedFor()), Age: microseconds(s.GetAge()),
+			Quarantines: int(s.GetQuarantines()), Probe: decodeProbe(s),
 		})
 	}
 	return decoded
--- a/internal/fleet/messenger/encode.go
+++ b/internal/fleet/messenger/encode.go
@@ -152,13 +152,23 @@
 	return encoded
 }
 
+// encodeProbe returns nil if there was no probe.
+func encodeProbe(p modeler.ProbeReport) *Probe {
+	if p.State == modeler.ProbeNone {
+		return nil
+	}
+	return &Probe{
+		Quarantine: int32(p.Quarantine), Number: int32(p.Number), Request: string(p.ID), State: uint32(p.State), Age: p.Age.Microseconds(),
+	}
+}
+
 func encodeSuspects(list []modeler.Suspect) []*Suspect {
 	encoded := make([]*Suspect, 0, len(list))
 	for _, s := range list {
 		encoded = append(encoded, &Suspect{
 			Fingerprint: uint64(s.Fingerprint), Count: int32(s.Count), SharedPart: s.SharedPart, QuarantinedFor: s.QuarantinedFor.Microseconds(),
-			Companions: encodeFingerprints(s.Companions), Confirmed: s.Confirmed, Requests: encodeFingerprints(s.Requests),
-			Age: s.Age.Microseconds(),
+			Companions: encodeFingerprints(s.Companions), Requests: encodeFingerprints(s.Requests), Age: s.Age.Microseconds(),
+			Quarantines: int32(s.Quarantines), Probe: encodeProbe(s.Probe), Confirmed: s.Probe.State == modeler.ProbeBroke,
 		})
 	}
 	return encoded
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -76,7 +76,9 @@
 			SuspectsPartial: true,
 			Terms:           []modeler.ReportedTerms{{Endpoint: "e", StartUnixMilli: 7, Limited: true, Age: time.Second}, {Endpoint: "f", Leaving: true}},
 			Alive:           []modeler.ReportedNode{{Node: node(), Age: time.Second}}, AliveRanks: []modeler.ReportedRank{{Age: 7 * time.Millisecond}, {Rank: 1 << 40, Age: 2 * time.Second}}, Suspects: []modeler.Suspect{
-				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Confirmed: true, Age: 5 * time.Second}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}, Requests: []modeler.Fingerprint{6, 7}},
+				{Fingerprint: 9, Count: 3, QuarantinedFor: time.Minute, Quarantines: 2, Age: 5 * time.Second, Probe: modeler.ProbeReport{
+					Quarantine: 2, Number: 3, ID: "r/0/a", State: modeler.ProbeBroke, Age: 7 * time.Second,
+				}}, {Fingerprint: 1 << 63, Count: 2, SharedPart: true, Companions: []modeler.Fingerprint{4, 1 << 62}, Requests: []modeler.Fingerprint{6, 7}},
 			},
 			Loads: map[modeler.EndpointID]modeler.LoadSummary{"e": {Running: 3, Memory: 900, Backlog: time.Second, Gap: time.Millisecond, Work: time.Minute}},
 			Costs: []modeler.CostSummary{{Group: 1 << 63, Subgroup: 7, Value: 30.5, Weight: 8}},
@@ -264,3 +266,28 @@
 	assert.NilError(t, closeB())
 	assert.NilError(t, <-done)
 }
+
+// TestProbeOfEarlierVersion guards against a node that places one more probe because the one that knows of the last is of an earlier version, during an update.
+func TestProbeOfEarlierVersion(t *testing.T) {
+	broke := modeler.ProbeReport{Quarantine: 1, Number: 1, State: modeler.ProbeBroke}
+	tests := []struct {
+		name  string
+		state modeler.ProbeState
+		// old is set if the suspect comes from an earlier version, which states only whether the probe broke.
+		old  bool
+		want modeler.ProbeReport
+	}{
+		{"from it, broke", modeler.ProbeBroke, true, broke}, {"from it, placed", modeler.ProbePlaced, true, modeler.ProbeReport{}},
+		{"from this version", modeler.ProbePlaced, false, modeler.ProbeReport{Quarantine: 1, Number: 1, State: modeler.ProbePlaced}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			encoded := encodeSuspects([]modeler.Suspect{{Probe: modeler.ProbeReport{Quarantine: 1, Number: 1, State: tt.state}}})
+			assert.Equal(t, encoded[0].GetConfirmed(), tt.state == modeler.ProbeBroke)
+			if tt.old {
+				encoded[0].Probe = nil
+			}
+			assert.DeepEqual(t, decodeSuspects(encoded)[0].Probe, tt.want)
+		})
+	}
+}
--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -19,15 +19,6 @@
 	ObservationTime = 600 * time.Millisecond
 	// maxCompanions bounds the companions of a shared part in the digest.
 	maxCompanions = 4
-	// probeDelay is the time from the beginning of a shared part's quarantine to its probe: one request that is placed all the same. It covers the
-	// attempts that were placed before.
-	probeDelay = 1500 * time.Millisecond
-	// probeTimeout is the time after which another request becomes the probe if the last one has shown nothing.
-	probeTimeout = 5 * time.Second
-	// confirmedProbeDelay is the time after a probe that broke until the next one. It doubles with each probe up to maxProbeDelay, since each costs an
-	// engine if the part is deadly.
-	confirmedProbeDelay = 30 * time.Second
-	maxProbeDelay       = 8 * time.Minute
 	// recentTime is how long the count of a shared part is recent, and suspectTime that of a request.
 	recentTime  = 10 * time.Second
 	suspectTime = time.Minute
@@ -61,10 +52,8 @@
 	// ListedBy is the incarnation of the coordinator whose digest listed the fingerprint last. Only the digest of the same process may remove it:
 	// another coordinator may not know it.
 	ListedBy uint64
-	// Probe is the last request that was placed in spite of a quarantine, at ProbedAt. Probes counts those of the last quarantine.
-	Probe    RequestID
-	ProbedAt time.Time
-	Probes   int
+	// Probe is the last probe of a shared part, also if it belongs to an earlier quarantine.
+	Probe Probe
 	// Trial is the last request with the fingerprint that this node placed, or was granted, while it had to run alone. TrialAt is when.
 	Trial   RequestID
 	TrialAt time.Time
@@ -80,6 +69,9 @@
 	if at.After(b.At) {
 		b.At = at
 	}
+	if b.probed() && !at.Before(b.Probe.At) {
+		b.Probe.State = ProbeBroke
+	}
 	return b
 }
 
@@ -136,10 +128,10 @@
 		b.Quarantines++
 	}
 	lasts := first
-	for range b.Quarantines - 1 {
-		lasts = min(time.Duration(growth)*lasts, maxQuarantineTime)
+	for i := 1; i < b.Quarantines && lasts < maxQuarantineTime; i++ {
+		lasts *= time.Duration(growth)
 	}
-	b.Until = at.Add(lasts)
+	b.Until = at.Add(min(lasts, maxQuarantineTime))
 	return b
 }
 
@@ -148,39 +140,6 @@
 	return !now.Before(b.From) && now.Before(b.Until)
 }
 
-// ProbeDue reports whether a request has to show whether the quarantine of this shared part is justified: there was none in this quarantine, the
-// last one neither broke nor cleared the part, or it broke some time ago. The engines of a service may all have failed for another reason then.
-func (b BrokenAttempts) ProbeDue(now time.Time) bool {
-	if !b.Quarantined(now) || now.Sub(b.From) < probeDelay {
-		return false
-	}
-	if b.ProbedAt.Before(b.From) {
-		return true
-	}
-	delay := probeTimeout
-	if b.confirmed() {
-		delay = confirmedProbeDelay
-		for range b.Probes - 1 {
-			delay = min(2*delay, maxProbeDelay)
-		}
-	}
-	return now.Sub(b.ProbedAt) >= delay
-}
-
-// confirmed reports whether an attempt has broken since the probe of the last quarantine was placed.
-func (b BrokenAttempts) confirmed() bool {
-	return !b.ProbedAt.IsZero() && !b.ProbedAt.Before(b.From) && !b.At.Before(b.ProbedAt)
-}
-
-// WithProbe returns the count after a request became the probe.
-func (b BrokenAttempts) WithProbe(id RequestID, at time.Time) BrokenAttempts {
-	if b.ProbedAt.Before(b.From) {
-		b.Probes = 0
-	}
-	b.Probe, b.ProbedAt, b.Probes = id, at, b.Probes+1
-	return b
-}
-
 // WithListedBy returns the count after the digest of a coordinator with the given incarnation listed the fingerprint.
 func (b BrokenAttempts) WithListedBy(incarnation uint64) BrokenAttempts {
 	b.ListedBy = incarnation
@@ -219,8 +178,9 @@
 	SharedPart  bool
 	// Companions and Requests are those of BrokenAttempts. They must not be modified.
 	Companions, Requests []Fingerprint
-	// Confirmed is set if the probe of the quarantine broke.
-	Confirmed bool
+	// Quarantines is the number of quarantines, and Probe the last probe.
+	Quarantines int
+	Probe       ProbeReport
 	// QuarantinedFor is the rest of the quarantine; zero if there is none.
 	QuarantinedFor time.Duration
 	// Age is the time since the last counted attempt.
@@ -232,7 +192,7 @@
 func (b BrokenAttempts) Suspect(fingerprint Fingerprint, now time.Time) (Suspect, bool) {
 	suspect := Suspect{
 		Fingerprint: fingerprint, Count: b.Count, SharedPart: b.SharedPart, Companions: b.Companions[max(len(b.Companions)-maxCompanions, 0):],
-		Requests: b.Requests, Confirmed: b.confirmed(),
+		Requests: b.Requests, Quarantines: b.Quarantines, Probe: b.Probe.report(now),
 	}
 	if !b.At.IsZero() {
 		suspect.Age = max(now.Sub(b.At), 0)
@@ -262,16 +222,21 @@
 	b.SharedPart = b.SharedPart || suspect.SharedPart
 	if until := now.Add(suspect.QuarantinedFor); suspect.QuarantinedFor > 0 && until.After(b.Until) {
 		if !b.Quarantined(now) {
-			b.From, b.Quarantines = now, max(b.Quarantines, 1)
+			b.From = now
 		}
-		b.Until = until
+		b.Until, b.Quarantines = until, max(b.Quarantines, 1)
 	}
-	if !b.SharedPart && b.Quarantines == 0 && suspect.QuarantinedFor <= 0 && suspect.Age >= suspectTime {
+	quarantines := suspect.Quarantines
+	if !b.SharedPart && suspect.QuarantinedFor <= 0 && suspect.Age >= suspectTime {
 		// Such an old count of a request is listed only after a quarantine.
-		b.From, b.Until, b.Quarantines = now, now, 1
+		quarantines = max(quarantines, 1)
 	}
-	if suspect.Confirmed && !b.confirmed() {
-		b.ProbedAt, b.At = now, now
+	if quarantines > b.Quarantines {
+		if b.Until.IsZero() {
+			b.From, b.Until = now, now
+		}
+		b.Quarantines = quarantines
 	}
+	b.Probe = b.Probe.WithReport(suspect.Probe, now)
 	return b
 }
--- a/internal/fleet/modeler/log_event.go
+++ b/internal/fleet/modeler/log_event.go
@@ -49,6 +49,8 @@
 	LogEventQuarantined LogEventName = "Quarantined"
 	// LogEventQuarantineLifted: Request, Fingerprint, Count, Since.
 	LogEventQuarantineLifted LogEventName = "QuarantineLifted"
+	// LogEventProbeChosen: Request, Fingerprint, Number, Quarantine, Coordinating.
+	LogEventProbeChosen LogEventName = "ProbeChosen"
 	// LogEventEnginesSurveyed: Engines.
 	LogEventEnginesSurveyed LogEventName = "EnginesSurveyed"
 	// LogEventUnplacedWork: Endpoint, Requests, Memory.
@@ -103,7 +105,7 @@
 	LogEventNodeStarted, LogEventNodeLeaving, LogEventNodeStopped, LogEventSettingsChecked,
 	LogEventNodeRegistered, LogEventNodeTimedOut, LogEventCoordinatorChanged, LogEventCoordinatorDoubted, LogEventConfigurationApplied, LogEventDataCentreChanged,
 	LogEventEndpointKnown, LogEventEndpointChanged, LogEventEndpointRemoved, LogEventEndpointLapsed, LogEventEndpointJudged,
-	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted,
+	LogEventEndpointTerms, LogEventQuarantined, LogEventQuarantineLifted, LogEventProbeChosen,
 	LogEventStoreLost, LogEventStoreRegained, LogEventRecordUnreadable, LogEventStoreRestored, LogEventTopicRestored, LogEventRecordHeld,
 	LogEventOperatorsBehind, LogEventOperatorsCaughtUp, LogEventStateUnusable,
 	LogEventPlaced, LogEventPlaceRefused, LogEventAttemptBroken, LogEventBrokenAttemptReported, LogEventAnswerInvalid, LogEventAttemptRepeated, LogEventRequestEnded,
--- a/internal/fleet/modeler/world.go
+++ b/internal/fleet/modeler/world.go
@@ -47,6 +47,10 @@
 	// PrefillEnd holds the expected end of the prefill work that is assigned to each engine.
 	PrefillEnd     *tabler.Table[EndpointID, time.Time]
 	BrokenAttempts *tabler.Table[Fingerprint, BrokenAttempts]
+	// SuspectsDue is set if the other nodes have to be told of BrokenAttempts at once, and SuspectsSentAt is when this node, as the coordinator, last told
+	// them.
+	SuspectsDue    bool
+	SuspectsSentAt time.Time
 	// Terms holds what endpoints have said about the requests that they take. It has no row for endpoints that have said nothing.
 	Terms *tabler.Table[EndpointID, EndpointTerms]
 	// UnresolvedAttempts holds the attempts of the last seconds of which it is not known whether they ended their endpoints.
@@ -144,7 +148,12 @@
 
 // ReceivesStaleMessages reports whether messages that arrive now may be from before or during a pause of this process.
 func (w *World) ReceivesStaleMessages(now time.Time) bool {
-	return !w.resumedAt.IsZero() && now.Sub(w.resumedAt) < staleMessageTime
+	return w.ResumedWithin(now, staleMessageTime)
+}
+
+// ResumedWithin reports whether a pause of this process ended less than d ago.
+func (w *World) ResumedWithin(now time.Time, d time.Duration) bool {
+	return !w.resumedAt.IsZero() && now.Sub(w.resumedAt) < d
 }
 
 // Coordinates reports whether this node coordinates placement for all nodes.
--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"damaskpick.example/damaskpick/internal/fleet/elector"
@@ -45,8 +44,10 @@
 )
 
 // reject returns a refusal that does not depend on the load of endpoints, or false if there is none.
-func reject(now time.Time, world *modeler.World, request modeler.Request) (modeler.Decision, bool) {
-	return rejectUnless(now, world, request, probes)
+func reject(tick *modeler.Tick, world *modeler.World, request modeler.Request) (modeler.Decision, bool) {
+	return rejectUnless(tick.Now, world, request, func(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
+		return probes(tick, world, id, parts)
+	})
 }
 
 // rejectWithoutProbe returns what reject would return. It makes no request the probe of a quarantine.
@@ -98,35 +99,6 @@
 	return len(blamed) > 0 && !probe(now, world, request.ID, blamed)
 }
 
-// probes reports whether the request is the probe of the quarantined parts, and makes it the probe if one is due.
-func probes(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
-	if !mayProbe(now, world, id, parts) {
-		return false
-	}
-	for _, part := range parts {
-		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe != id {
-			world.BrokenAttempts.Put(part, brokenAttempts.WithProbe(id, now))
-		}
-	}
-	return true
-}
-
-// mayProbe reports whether the request is the probe of the quarantined parts, or whether one is due. If the parts have different companions, another
-// request may tell them apart. Only the coordinator probes, so that there is one probe in the fleet.
-func mayProbe(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
-	if !world.Coordinates() {
-		return false
-	}
-	first, _ := world.BrokenAttempts.Get(parts[0])
-	for _, part := range parts {
-		brokenAttempts, _ := world.BrokenAttempts.Get(part)
-		if !slices.Equal(brokenAttempts.Companions, first.Companions) || brokenAttempts.Probe != id && !brokenAttempts.ProbeDue(now) {
-			return false
-		}
-	}
-	return true
-}
-
 // weighing is the comparison of the candidates for a request.
 type weighing struct {
 	service    modeler.Service
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -143,7 +143,10 @@
 }
 
 func (s *System) handlePlacementCancelled(tick *modeler.Tick, world *modeler.World, id modeler.RequestID) {
-	world.Waiting.Delete(id)
+	if entry, ok := world.Waiting.Get(id); ok {
+		endUnplacedProbe(world, entry.Request)
+		world.Waiting.Delete(id)
+	}
 	if entry, ok := world.Forwarded.Get(id); ok {
 		world.Forwarded.Delete(id)
 		if to, ok := world.Nodes.Get(entry.To); ok {
@@ -179,6 +182,7 @@
 		s.handleStarted(tick, world, body.ID)
 	case modeler.Ended:
 		if entry, ok := world.Waiting.Get(body.ID); ok && entry.Request.Node == message.From {
+			endUnplacedProbe(world, entry.Request)
 			world.Waiting.Delete(body.ID)
 		}
 	case modeler.Beat:
--- a/internal/fleet/placer/probe_test.go
+++ b/internal/fleet/placer/probe_test.go
@@ -35,6 +35,27 @@
 		{"the probe has shown nothing", func(w *modeler.World) {
 			w.BrokenAttempts.Put(9, quarantine(start.Add(-9*time.Second)).WithProbe("x", start.Add(-5*time.Second)))
 		}, []modeler.Fingerprint{9}, true},
+		{"the second probe has shown nothing", func(w *modeler.World) {
+			b := quarantine(start.Add(-time.Minute)).WithProbe("w", start.Add(-9*time.Second)).WithProbe("x", start.Add(-5*time.Second))
+			w.BrokenAttempts.Put(9, b.WithProbeEnded("x", false))
+		}, []modeler.Fingerprint{9}, true},
+		{"nobody knows how the second probe ended", func(w *modeler.World) {
+			b := quarantine(start.Add(-time.Minute)).WithProbe("w", start.Add(-35*time.Second)).WithProbe("x", start.Add(-29*time.Second))
+			w.BrokenAttempts.Put(9, b)
+		}, []modeler.Fingerprint{9}, false},
+		{"this node has just begun to coordinate", func(w *modeler.World) {
+			w.BrokenAttempts.Put(9, quarantine(start.Add(-9*time.Second)))
+			w.CoordinatorSince = start.Add(-900 * ms)
+		}, []modeler.Fingerprint{9}, false},
+		{"this node has coordinated for a second", func(w *modeler.World) {
+			w.BrokenAttempts.Put(9, quarantine(start.Add(-9*time.Second)))
+			w.CoordinatorSince = start.Add(-time.Second)
+		}, []modeler.Fingerprint{9}, true},
+		{"this node has just been paused", func(w *modeler.World) {
+			w.BrokenAttempts.Put(9, quarantine(start.Add(-9*time.Second)))
+			w.BeginTick(start.Add(-5 * time.Second))
+			w.BeginTick(start.Add(-900 * ms))
+		}, []modeler.Fingerprint{9}, false},
 		{"two quarantined parts", func(w *modeler.World) {
 			w.BrokenAttempts.Put(8, suspected(3, start.Add(-9*time.Second), 8).WithQuarantine(start.Add(-9*time.Second), start.Add(-9*time.Second), time.Hour, 2))
 			w.BrokenAttempts.Put(9, quarantine(start.Add(-9*time.Second)))
@@ -57,6 +78,13 @@
 				r := request(modeler.RequestID(fmt.Sprint("r", i)), "a")
 				r.SharedParts = tt.parts
 				replies := effects[modeler.Reply](n.run(modeler.PlacementRequested{Request: r}))
+				if want {
+					assert.Equal(t, len(replies), 0, "the probe must wait until the other nodes have been told of it")
+					assert.Assert(t, n.world.SuspectsDue)
+					n.now = n.now.Add(retryInterval)
+					n.world.SuspectsSentAt = n.now
+					replies = effects[modeler.Reply](n.run())
+				}
 				assert.Equal(t, len(replies), 1)
 				assert.Equal(t, !replies[0].Decision.Refused, want, "request %d", i)
 			}
--- /dev/null
+++ b/internal/fleet/placer/probes.go
@@ -0,0 +1,80 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"damaskpick.example/damaskpick/internal/fleet/modeler"
+)
+
+// probeSettleTime is the time for which a node coordinates, or has run without a pause, before it makes a request a probe. Heartbeats tell it meanwhile of the probes of
+// the coordinator before it, also of one that was placed in that one's last moment.
+const probeSettleTime = time.Second
+
+// probes reports whether the request is the probe of the quarantined parts, and makes it the probe if one is due.
+func probes(tick *modeler.Tick, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
+	if !mayProbe(tick.Now, world, id, parts) {
+		return false
+	}
+	for _, part := range parts {
+		brokenAttempts, _ := world.BrokenAttempts.Get(part)
+		if brokenAttempts.Probe.ID == id {
+			continue
+		}
+		brokenAttempts = brokenAttempts.WithProbe(id, tick.Now)
+		world.BrokenAttempts.Put(part, brokenAttempts)
+		world.SuspectsDue = true
+		if suspect, ok := brokenAttempts.Suspect(part, tick.Now); ok {
+			tick.Emit(modeler.SaveQuarantine{Suspect: suspect, Until: brokenAttempts.Until})
+		}
+		tick.Emit(modeler.LogEvent{Name: modeler.LogEventProbeChosen, Request: id, Fields: []modeler.LogField{
+			{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{part})}, {Key: "Number", Value: brokenAttempts.Probe.Number},
+			{Key: "Quarantine", Value: brokenAttempts.Quarantines}, {Key: "Coordinating", Value: tick.Now.Sub(world.CoordinatorSince)},
+		}})
+	}
+	return true
+}
+
+// mayProbe reports whether the request is the probe of the quarantined parts, or whether one is due. If the parts have different companions, another
+// request may tell them apart. Only the coordinator probes, so that there is one probe in the fleet.
+func mayProbe(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
+	if !world.Coordinates() {
+		return false
+	}
+	settled := now.Sub(world.CoordinatorSince) >= probeSettleTime && !world.ResumedWithin(now, probeSettleTime)
+	first, _ := world.BrokenAttempts.Get(parts[0])
+	for _, part := range parts {
+		brokenAttempts, _ := world.BrokenAttempts.Get(part)
+		if !slices.Equal(brokenAttempts.Companions, first.Companions) {
+			return false
+		}
+		if brokenAttempts.Probe.ID != id && (!settled || !brokenAttempts.ProbeDue(now)) {
+			return false
+		}
+	}
+	return true
+}
+
+// unannounced reports whether the request is a probe of which this node has not told the others yet. If this node failed after it has placed the probe,
+// the next coordinator would place another one.
+func unannounced(world *modeler.World, request modeler.Request) bool {
+	if world.BrokenAttempts.Len() == 0 {
+		return false
+	}
+	return slices.ContainsFunc(request.SharedParts, func(part modeler.Fingerprint) bool {
+		brokenAttempts, _ := world.BrokenAttempts.Get(part)
+		return brokenAttempts.Probe.ID == request.ID && !world.SuspectsSentAt.After(brokenAttempts.Probe.At)
+	})
+}
+
+// endUnplacedProbe records that a request which may be a probe will not be placed.
+func endUnplacedProbe(world *modeler.World, request modeler.Request) {
+	if world.BrokenAttempts.Len() == 0 {
+		return
+	}
+	for _, part := range request.SharedParts {
+		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe.ID == request.ID {
+			world.BrokenAttempts.Put(part, brokenAttempts.WithProbeEnded(request.ID, false))
+		}
+	}
+}
--- a/internal/fleet/placer/waiting.go
+++ b/internal/fleet/placer/waiting.go
@@ -49,7 +49,7 @@
 	if !ok {
 		return true
 	}
-	decision, rejected := reject(tick.Now, world, entry.Request)
+	decision, rejected := reject(tick, world, entry.Request)
 	if rejected {
 		s.endWaiting(tick, world, entry, decision)
 	}
@@ -59,7 +59,7 @@
 // decideWaiting decides on a waiting request and blocks its group if it has to wait longer.
 func (s *System) decideWaiting(tick *modeler.Tick, world *modeler.World, key queueKey) {
 	entry, _ := world.Waiting.Get(key.id)
-	if s.decideSuspect(tick, world, entry, key.waitsUntil) {
+	if unannounced(world, entry.Request) || s.decideSuspect(tick, world, entry, key.waitsUntil) {
 		return
 	}
 	entry.Request = entry.Request.WithWeightFactor(s.onTime.weightFactor(entry.Request))
@@ -73,6 +73,9 @@
 
 func (s *System) endWaiting(tick *modeler.Tick, world *modeler.World, entry modeler.Waiting, decision modeler.Decision) {
 	world.Waiting.Delete(entry.Request.ID)
+	if decision.Refused {
+		endUnplacedProbe(world, entry.Request)
+	}
 	s.sendDecision(tick, world, entry, decision)
 }
 
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -225,6 +225,26 @@
 	}
 }
 
+// isProbe reports whether a request is the last probe of one of its shared parts.
+func isProbe(world *modeler.World, request modeler.Request) bool {
+	return world.BrokenAttempts.Len() > 0 && slices.ContainsFunc(request.SharedParts, func(part modeler.Fingerprint) bool {
+		brokenAttempts, _ := world.BrokenAttempts.Get(part)
+		return brokenAttempts.Probe.ID == request.ID
+	})
+}
+
+// recordProbeEnd records the end of a request that is the probe of one of the given parts. An endpoint that has survived it removes the count instead.
+func recordProbeEnd(world *modeler.World, e modeler.Ended, parts []modeler.Fingerprint) {
+	if world.BrokenAttempts.Len() == 0 {
+		return
+	}
+	for _, part := range parts {
+		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe.ID == e.ID && e.ID != "" {
+			world.BrokenAttempts.Put(part, brokenAttempts.WithProbeEnded(e.ID, e.Outcome == modeler.Broken))
+		}
+	}
+}
+
 // clearPart removes the count of a shared part, since an endpoint survived an attempt with it that was placed after the first broken one.
 func clearPart(tick *modeler.Tick, world *modeler.World, part modeler.Fingerprint, id modeler.RequestID, placed time.Time) {
 	world.UnresolvedAttempts.Delete(part)
@@ -267,7 +287,7 @@
 	if world.Coordinates() {
 		return
 	}
-	mergeSuspects(now, world, digest.Suspects)
+	mergeReported(now, world, digest.Suspects)
 	listed := make(map[modeler.Fingerprint]bool, len(digest.Suspects))
 	for _, suspect := range digest.Suspects {
 		listed[suspect.Fingerprint] = true
@@ -284,6 +304,18 @@
 	}
 }
 
+// mergeReported adds the fingerprints that a message of another node lists. A message from before or during a pause of this process may list a part that was
+// cleared since. Its probe is left out then: its age is not known, and this node would wait for a result that nobody has. Later messages name a probe that counts.
+func mergeReported(now time.Time, world *modeler.World, suspects []modeler.Suspect) {
+	if world.ReceivesStaleMessages(now) {
+		suspects = slices.Clone(suspects)
+		for i := range suspects {
+			suspects[i].Probe = modeler.ProbeReport{}
+		}
+	}
+	mergeSuspects(now, world, suspects)
+}
+
 // mergeSuspects adds the fingerprints that another node knows.
 func mergeSuspects(now time.Time, world *modeler.World, suspects []modeler.Suspect) {
 	for _, suspect := range suspects {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -51,7 +51,9 @@
 				if a, ok := world.Assignments.Get(body.ID); ok {
 					sampleEnded(tick, world, a)
 					recordUnresolved(tick, world, senderOf(e.Message), a, body)
+					recordProbeEnd(world, body, a.Request.SharedParts)
 				}
+				recordProbeEnd(world, body, body.SharedParts)
 				world.Unassign(body.ID)
 				recordOutcome(tick, world, senderOf(e.Message), body)
 				updateHealth(tick, world, body)
@@ -59,7 +61,7 @@
 				applyDigest(tick.Now, world, e.Message, body)
 			case modeler.Beat:
 				if world.Coordinates() {
-					mergeSuspects(tick.Now, world, body.Suspects)
+					mergeReported(tick.Now, world, body.Suspects)
 				}
 			}
 		}
@@ -168,13 +170,14 @@
 		ended.Endpoint, ended.Outcome = e.FaultyEngine, modeler.Unreachable
 	}
 	ended.Survived = e.Succeeded || survived(assignment, tick.Now)
-	if ended.Survived || e.Outcome == modeler.Broken {
+	if ended.Survived || e.Outcome == modeler.Broken || isProbe(world, assignment.Request) {
 		ended.SharedParts, ended.Age = assignment.Request.SharedParts, tick.Now.Sub(assignment.Placed)
 	}
 	if ended.Outcome == modeler.Broken {
 		ended.ProcessEndedAt = world.ProcessTime(tick.Now)
 	}
 	recordUnresolved(tick, world, senderOf(world.Message(ended)), assignment, ended)
+	recordProbeEnd(world, ended, ended.SharedParts)
 	recordOutcome(tick, world, senderOf(world.Message(ended)), ended)
 	if ended.Outcome == modeler.Broken {
 		brokenAttempts, _ := world.BrokenAttempts.Get(ended.Fingerprint)
--- a/internal/proof/loadtester/fleet_test.go
+++ b/internal/proof/loadtester/fleet_test.go
@@ -88,6 +88,8 @@
 	lost, doubled float64
 	// learnsCosts is set if the nodes learn the costs of requests.
 	learnsCosts bool
+	// onEffect, if set, is called for the effects that are neither messages nor decisions.
+	onEffect func(n *node, effect modeler.Effect)
 }
 
 const dataCentres = 3
--- a/internal/proof/loadtester/node_test.go
+++ b/internal/proof/loadtester/node_test.go
@@ -26,6 +26,9 @@
 	ticking bool
 	wakeAt  time.Time
 	dead    bool
+	// pausedUntil is the end of the last pause of the node, and cut is set while its messages to and from other nodes are lost.
+	pausedUntil time.Time
+	cut         bool
 	// waiters are called with the decisions on placements.
 	waiters map[modeler.RequestID]func(modeler.Decision)
 }
@@ -82,6 +85,11 @@
 
 func (n *node) tick() {
 	n.ticking = false
+	if n.fleet.clock.now.Before(n.pausedUntil) {
+		n.wake(n.pausedUntil)
+		return
+	}
+	n.world.BeginTick(n.fleet.clock.now)
 	tick := &modeler.Tick{Now: n.fleet.clock.now, Rand: n.random, Events: n.events}
 	n.events = nil
 	for _, system := range n.systems {
@@ -90,7 +98,7 @@
 	for _, effect := range tick.Effects() {
 		switch e := effect.(type) {
 		case modeler.Send:
-			if to := n.fleet.nodes[e.To.ID]; to != nil {
+			if to := n.fleet.nodes[e.To.ID]; to != nil && !to.cut && !n.cut {
 				n.fleet.send(to, e.Message)
 			}
 		case modeler.Reply:
@@ -98,6 +106,10 @@
 				delete(n.waiters, e.ID)
 				waiter(e.Decision)
 			}
+		default:
+			if n.fleet.onEffect != nil {
+				n.fleet.onEffect(n, effect)
+			}
 		}
 	}
 	if next := tick.Next(); !next.IsZero() {
