Count a released request whose end nobody reported

Which one ran last was known to the coordinator and to the node that sent it. If these failed or were paused before the endpoint had crashed, the next coordinator placed the next one at once.

Change: the request that is placed after a quarantine is a probe: all nodes are told before it is placed, and while nobody has reported how it ended, the next one is refused at once as Suspected, for 5 s after the first and 30 s, a minute and so on after the others. Before the first quarantine nothing changes: the notice would delay each repeat of a request whose endpoint crashed.

TestReleasedRequest is new.

--- a/internal/fleet/modeler/broken_attempts.go
+++ b/internal/fleet/modeler/broken_attempts.go
@@ -52,7 +52,7 @@
 	// ListedBy is the incarnation of the coordinator whose digest listed the fingerprint last. Only the digest of the same process may remove it:
 	// another coordinator may not know it.
 	ListedBy uint64
-	// Probe is the last probe of a shared part, also if it belongs to an earlier quarantine.
+	// Probe is the last probe, also if it belongs to an earlier quarantine.
 	Probe Probe
 	// Trial is the last request with the fingerprint that this node placed, or was granted, while it had to run alone. TrialAt is when.
 	Trial   RequestID
--- a/internal/fleet/modeler/probe.go
+++ b/internal/fleet/modeler/probe.go
@@ -28,7 +28,7 @@
 	ProbeBroke
 )
 
-// Probe is the last request that was placed in spite of a quarantine, to show whether endpoints survive it.
+// Probe is the last request that was placed in spite of a quarantine, or after that of its own fingerprint, to show whether endpoints survive it.
 type Probe struct {
 	// Quarantine is the number of the quarantine, as BrokenAttempts counts them, and Number that of the probe in it. Both begin at 1. A probe whose
 	// numbers are higher is later, whichever node placed it.
@@ -137,6 +137,14 @@
 	return b.Probe.State != ProbeNone && (b.Probe.Quarantine == b.Quarantines || !b.Probe.At.Before(b.From))
 }
 
+// UnheardFor returns how long a request whose quarantine has ended stays refused because it is not known how the last one ended; zero if it is known.
+func (b BrokenAttempts) UnheardFor(now time.Time) time.Duration {
+	if b.Quarantines == 0 || !b.probed() || b.Probe.State != ProbePlaced {
+		return 0
+	}
+	return max(b.Probe.wait()-now.Sub(b.Probe.At), 0)
+}
+
 // WithProbe returns the count after a request became the probe.
 func (b BrokenAttempts) WithProbe(id RequestID, at time.Time) BrokenAttempts {
 	number := 1
--- a/internal/fleet/modeler/request.go
+++ b/internal/fleet/modeler/request.go
@@ -59,6 +59,11 @@
 	return r
 }
 
+// Fingerprints returns the fingerprint of the request and those of the shared parts of its prompt.
+func (r Request) Fingerprints() []Fingerprint {
+	return append(slices.Clone(r.SharedParts), r.Fingerprint)
+}
+
 // WithSharedParts returns the request with SharedParts set.
 func (r Request) WithSharedParts(parts []Fingerprint) Request {
 	r.SharedParts = parts
--- a/internal/fleet/placer/probes.go
+++ b/internal/fleet/placer/probes.go
@@ -56,13 +56,13 @@
 }
 
 // unannounced reports whether the request is a probe of which this node has not told the others yet. If this node failed after it has placed the probe,
-// the next coordinator would place another one.
+// the next coordinator would place another one. Only the coordinator tells the others.
 func unannounced(world *modeler.World, request modeler.Request) bool {
-	if world.BrokenAttempts.Len() == 0 {
+	if world.BrokenAttempts.Len() == 0 || !world.Coordinates() {
 		return false
 	}
-	return slices.ContainsFunc(request.SharedParts, func(part modeler.Fingerprint) bool {
-		brokenAttempts, _ := world.BrokenAttempts.Get(part)
+	return slices.ContainsFunc(request.Fingerprints(), func(fingerprint modeler.Fingerprint) bool {
+		brokenAttempts, _ := world.BrokenAttempts.Get(fingerprint)
 		return brokenAttempts.Probe.ID == request.ID && !world.SuspectsSentAt.After(brokenAttempts.Probe.At)
 	})
 }
@@ -72,9 +72,9 @@
 	if world.BrokenAttempts.Len() == 0 {
 		return
 	}
-	for _, part := range request.SharedParts {
-		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe.ID == request.ID {
-			world.BrokenAttempts.Put(part, brokenAttempts.WithProbeEnded(request.ID, false))
+	for _, fingerprint := range request.Fingerprints() {
+		if brokenAttempts, _ := world.BrokenAttempts.Get(fingerprint); brokenAttempts.Probe.ID == request.ID {
+			world.BrokenAttempts.Put(fingerprint, brokenAttempts.WithProbeEnded(request.ID, false))
 		}
 	}
 }
--- a/internal/fleet/placer/suspect_test.go
+++ b/internal/fleet/placer/suspect_test.go
@@ -129,3 +129,55 @@
 		})
 	}
 }
+
+// TestReleasedRequest guards against a request that crashes one more endpoint with each failure of the node that sent it (BUDGET): after its quarantine, nobody
+// knows how the last one with the fingerprint ended. It also guards against sound requests that wait for an end that is known.
+func TestReleasedRequest(t *testing.T) {
+	released := modeler.BrokenAttempts{Count: 3}.WithBrokenAttempt(start.Add(-2*time.Minute)).WithQuarantine(start.Add(-2*time.Minute), start.Add(-2*time.Minute), time.Minute, 10)
+	tests := []struct {
+		name string
+		row  modeler.BrokenAttempts
+		// running is set if the last one with the fingerprint runs.
+		running bool
+		// placed is set if the request is placed once the others were told of it, else it is refused with reason.
+		placed bool
+		reason modeler.RefusalReason
+		after  time.Duration
+	}{
+		{"the first one", released, false, true, "", 0},
+		{"the last one has ended", released.WithProbe("x", start.Add(-time.Second)).WithProbeEnded("x", false), false, true, "", 0},
+		{"the last one runs for long", released.WithProbe("x", start.Add(-time.Second)), true, true, "", 0},
+		{"nobody knows how the last one ended", released.WithProbe("x", start.Add(-4*time.Second)), false, false, modeler.ReasonSuspected, time.Second},
+		{"nobody knows it after some time", released.WithProbe("x", start.Add(-5*time.Second)), false, true, "", 0},
+		{
+			"nobody knows how the last two ended", released.WithProbe("w", start.Add(-15*time.Second)).WithProbe("x", start.Add(-9*time.Second)), false,
+			false, modeler.ReasonSuspected, maxRetryAfter,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newSuspectNode("a")
+			n.world.BrokenAttempts.Put(suspectCall, tt.row)
+			if tt.running {
+				n.world.Assign(modeler.Assignment{Request: modeler.Request{ID: "x", Node: "b"}, Placed: start.Add(-time.Second)})
+			}
+			var granted []modeler.Granted
+			for i := range 2 {
+				id := modeler.RequestID(fmt.Sprint("r", i))
+				granted = append(granted, bodies[modeler.Granted](n.run(peer("b", modeler.Ask{Request: suspectRequest(id, "b", "plain", suspectCall, start)})))...)
+			}
+			if !tt.placed {
+				assert.Equal(t, len(granted), 2)
+				assert.DeepEqual(t, granted[0].Decision, modeler.Decision{Refused: true, Reason: tt.reason, RetryAfter: tt.after})
+				return
+			}
+			assert.Equal(t, len(granted), 0, "the request must wait until the other nodes have been told")
+			assert.Assert(t, n.world.SuspectsDue)
+			n.now = n.now.Add(retryInterval)
+			n.world.SuspectsSentAt = n.now
+			granted = bodies[modeler.Granted](n.run())
+			assert.Equal(t, len(granted), 1, "one request runs at a time")
+			assert.Assert(t, !granted[0].Decision.Refused)
+		})
+	}
+}
--- a/internal/fleet/placer/suspects.go
+++ b/internal/fleet/placer/suspects.go
@@ -29,6 +29,36 @@
 	return running && now.Sub(brokenAttempts.TrialAt) < modeler.ObservationTime
 }
 
+// unheardTrial returns for how long a request is refused after the quarantine of its fingerprint because nobody has reported how the last one with the
+// fingerprint ended: its node may have failed together with an endpoint. It returns zero if the request may run.
+func unheardTrial(now time.Time, world *modeler.World, request modeler.Request) time.Duration {
+	brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint)
+	if !brokenAttempts.RunsAlone(now) || brokenAttempts.Probe.ID == request.ID {
+		return 0
+	}
+	_, waiting := world.Waiting.Get(brokenAttempts.Probe.ID)
+	_, running := world.Assignments.Get(brokenAttempts.Probe.ID)
+	if waiting || running {
+		return 0
+	}
+	return brokenAttempts.UnheardFor(now)
+}
+
+// claimTrial makes a request the trial of a fingerprint whose quarantine has ended. It reports whether the request has to wait until the other nodes have been
+// told, or until the trial before it is placed.
+func claimTrial(now time.Time, world *modeler.World, request modeler.Request) bool {
+	brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint)
+	if brokenAttempts.Quarantines == 0 || brokenAttempts.Probe.ID == request.ID {
+		return false
+	}
+	if _, waiting := world.Waiting.Get(brokenAttempts.Probe.ID); waiting {
+		return true
+	}
+	world.BrokenAttempts.Put(request.Fingerprint, brokenAttempts.WithProbe(request.ID, now))
+	world.SuspectsDue = world.Coordinates()
+	return world.Coordinates()
+}
+
 // recordTrial records that a request which has to run alone was placed.
 func recordTrial(now time.Time, world *modeler.World, request modeler.Request) {
 	if !runsAlone(now, world, request) {
@@ -49,8 +79,12 @@
 		s.forward(tick, world, entry.Request, placing)
 		return true
 	}
+	if wait := unheardTrial(tick.Now, world, entry.Request); wait > 0 {
+		s.endWaiting(tick, world, entry, refusal(modeler.ReasonSuspected, min(max(wait, minRetryAfter), maxRetryAfter)))
+		return true
+	}
 	if !held(tick.Now, world, entry.Request) {
-		return false
+		return claimTrial(tick.Now, world, entry.Request)
 	}
 	if !tick.Now.Before(waitsUntil) {
 		s.endWaiting(tick, world, entry, refusal(modeler.ReasonSuspected, retryAfter(tick.Now, entry.Request)))
--- a/internal/fleet/watcher/quarantine.go
+++ b/internal/fleet/watcher/quarantine.go
@@ -233,14 +233,15 @@
 	})
 }
 
-// recordProbeEnd records the end of a request that is the probe of one of the given parts. An endpoint that has survived it removes the count instead.
+// recordProbeEnd records the end of a request that is the probe of its fingerprint or of one of the given parts. An endpoint that has survived it removes the
+// count instead.
 func recordProbeEnd(world *modeler.World, e modeler.Ended, parts []modeler.Fingerprint) {
-	if world.BrokenAttempts.Len() == 0 {
+	if world.BrokenAttempts.Len() == 0 || e.ID == "" {
 		return
 	}
-	for _, part := range parts {
-		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe.ID == e.ID && e.ID != "" {
-			world.BrokenAttempts.Put(part, brokenAttempts.WithProbeEnded(e.ID, e.Outcome == modeler.Broken))
+	for _, fingerprint := range append(slices.Clone(parts), e.Fingerprint) {
+		if brokenAttempts, _ := world.BrokenAttempts.Get(fingerprint); brokenAttempts.Probe.ID == e.ID {
+			world.BrokenAttempts.Put(fingerprint, brokenAttempts.WithProbeEnded(e.ID, e.Outcome == modeler.Broken))
 		}
 	}
 }
--- a/internal/proof/loadtester/crashing_part_test.go
+++ b/internal/proof/loadtester/crashing_part_test.go
@@ -434,7 +434,7 @@
 			for _, fault := range []struct {
 				name      string
 				byRequest bool
-			}{{"part", false}} {
+			}{{"part", false}, {"request", true}} {
 				t.Run(fmt.Sprintf("%s/%s/%s", tt.name, target.name, fault.name), func(t *testing.T) {
 					t.Parallel()
 					for _, seed := range seeds {
