Refuse released requests that wait for too long

It is refused as Suspected now when its time to wait has passed, as one that waits for a running one is. TestReleasedRequestWaits failed before (one answer, two wanted) and passes.

--- a/internal/fleet/placer/decide.go
+++ b/internal/fleet/placer/decide.go
@@ -45,18 +45,16 @@
 
 // reject returns a refusal that does not depend on the load of endpoints, or false if there is none.
 func reject(tick *modeler.Tick, world *modeler.World, request modeler.Request) (modeler.Decision, bool) {
-	return rejectUnless(tick.Now, world, request, func(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
-		return probes(tick, world, id, parts)
-	})
+	return rejectUnless(tick.Now, world, request, func(parts []modeler.Fingerprint) bool { return probes(tick, world, request.ID, parts) })
 }
 
 // rejectWithoutProbe returns what reject would return. It makes no request the probe of a quarantine.
 func rejectWithoutProbe(now time.Time, world *modeler.World, request modeler.Request) (modeler.Decision, bool) {
-	return rejectUnless(now, world, request, mayProbe)
+	return rejectUnless(now, world, request, func(parts []modeler.Fingerprint) bool { return mayProbe(now, world, request.ID, parts) })
 }
 
 // probeFunc reports whether a request is or would be the probe of the quarantined parts.
-type probeFunc func(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool
+type probeFunc func(parts []modeler.Fingerprint) bool
 
 func rejectUnless(now time.Time, world *modeler.World, request modeler.Request, probe probeFunc) (modeler.Decision, bool) {
 	if !world.Configuration.Loaded() {
@@ -96,7 +94,7 @@
 			blamed = append(blamed, part)
 		}
 	}
-	return len(blamed) > 0 && !probe(now, world, request.ID, blamed)
+	return len(blamed) > 0 && !probe(blamed)
 }
 
 // weighing is the comparison of the candidates for a request.
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -427,6 +427,7 @@
 	}
 	for id, entry := range world.Waiting.All() {
 		if entry.Request.Node != world.Self.ID && tick.Now.After(entry.Request.Deadline) {
+			endUnplacedProbe(world, entry.Request)
 			world.Waiting.Delete(id)
 		}
 	}
--- a/internal/fleet/placer/probes.go
+++ b/internal/fleet/placer/probes.go
@@ -17,24 +17,28 @@
 		return false
 	}
 	for _, part := range parts {
-		brokenAttempts, _ := world.BrokenAttempts.Get(part)
-		if brokenAttempts.Probe.ID == id {
-			continue
-		}
-		brokenAttempts = brokenAttempts.WithProbe(id, tick.Now)
-		world.BrokenAttempts.Put(part, brokenAttempts)
-		world.SuspectsDue = true
-		if suspect, ok := brokenAttempts.Suspect(part, tick.Now); ok {
-			tick.Emit(modeler.SaveQuarantine{Suspect: suspect, Until: brokenAttempts.Until})
+		if brokenAttempts, _ := world.BrokenAttempts.Get(part); brokenAttempts.Probe.ID != id {
+			chooseProbe(tick, world, id, part)
 		}
-		tick.Emit(modeler.LogEvent{Name: modeler.LogEventProbeChosen, Request: id, Fields: []modeler.LogField{
-			{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{part})}, {Key: "Number", Value: brokenAttempts.Probe.Number},
-			{Key: "Quarantine", Value: brokenAttempts.Quarantines}, {Key: "Coordinating", Value: tick.Now.Sub(world.CoordinatorSince)},
-		}})
 	}
 	return true
 }
 
+// chooseProbe makes the request the probe of a fingerprint. Other nodes are told in the next tick, and the store if a quarantine is in force.
+func chooseProbe(tick *modeler.Tick, world *modeler.World, id modeler.RequestID, fingerprint modeler.Fingerprint) {
+	brokenAttempts, _ := world.BrokenAttempts.Get(fingerprint)
+	brokenAttempts = brokenAttempts.WithProbe(id, tick.Now)
+	world.BrokenAttempts.Put(fingerprint, brokenAttempts)
+	world.SuspectsDue = true
+	if suspect, _ := brokenAttempts.Suspect(fingerprint, tick.Now); suspect.QuarantinedFor > 0 {
+		tick.Emit(modeler.SaveQuarantine{Suspect: suspect, Until: brokenAttempts.Until})
+	}
+	tick.Emit(modeler.LogEvent{Name: modeler.LogEventProbeChosen, Request: id, Fields: []modeler.LogField{
+		{Key: "Fingerprint", Value: modeler.JoinFingerprints([]modeler.Fingerprint{fingerprint})}, {Key: "Number", Value: brokenAttempts.Probe.Number},
+		{Key: "Quarantine", Value: brokenAttempts.Quarantines}, {Key: "Coordinating", Value: tick.Now.Sub(world.CoordinatorSince)},
+	}})
+}
+
 // mayProbe reports whether the request is the probe of the quarantined parts, or whether one is due. If the parts have different companions, another
 // request may tell them apart. Only the coordinator probes, so that there is one probe in the fleet.
 func mayProbe(now time.Time, world *modeler.World, id modeler.RequestID, parts []modeler.Fingerprint) bool {
--- a/internal/fleet/placer/suspect_test.go
+++ b/internal/fleet/placer/suspect_test.go
@@ -181,3 +181,33 @@
 		})
 	}
 }
+
+// TestReleasedRequestWaits guards against a request that waits until its deadline for another one with the same fingerprint that waits for a free endpoint.
+func TestReleasedRequestWaits(t *testing.T) {
+	tests := []struct {
+		name string
+		// after is how long the requests have waited when they are decided again.
+		after time.Duration
+		want  int
+	}{{"while there is time", time.Second, 0}, {"for too long", 1400 * time.Millisecond, 2}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newSuspectNode("a")
+			released := modeler.BrokenAttempts{Count: 3}.WithBrokenAttempt(start.Add(-2 * time.Minute))
+			n.world.BrokenAttempts.Put(suspectCall, released.WithQuarantine(start.Add(-2*time.Minute), start.Add(-2*time.Minute), time.Minute, 10))
+			n.world.Endpoints.Delete("copy0")
+			n.world.Endpoints.Delete("copy1")
+			n.world.Endpoints.Delete("copy2")
+			for i := range 2 {
+				n.run(peer("b", modeler.Ask{Request: suspectRequest(modeler.RequestID(fmt.Sprint("r", i)), "b", "plain", suspectCall, start)}))
+			}
+			n.now = start.Add(tt.after)
+			n.world.SuspectsSentAt = n.now
+			granted := bodies[modeler.Granted](n.run())
+			assert.Equal(t, len(granted), tt.want)
+			for _, grant := range granted {
+				assert.Assert(t, grant.Decision.Refused)
+			}
+		})
+	}
+}
--- a/internal/fleet/placer/suspects.go
+++ b/internal/fleet/placer/suspects.go
@@ -45,8 +45,8 @@
 }
 
 // claimTrial makes a request the trial of a fingerprint whose quarantine has ended. It reports whether the request has to wait until the other nodes have been
-// told, or until the trial before it is placed.
-func claimTrial(now time.Time, world *modeler.World, request modeler.Request) bool {
+// told, or until the trial before it is placed. A node that places for all without coordinating tells nobody, and places at once.
+func claimTrial(tick *modeler.Tick, world *modeler.World, request modeler.Request) bool {
 	brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint)
 	if brokenAttempts.Quarantines == 0 || brokenAttempts.Probe.ID == request.ID {
 		return false
@@ -54,8 +54,7 @@
 	if _, waiting := world.Waiting.Get(brokenAttempts.Probe.ID); waiting {
 		return true
 	}
-	world.BrokenAttempts.Put(request.Fingerprint, brokenAttempts.WithProbe(request.ID, now))
-	world.SuspectsDue = world.Coordinates()
+	chooseProbe(tick, world, request.ID, request.Fingerprint)
 	return world.Coordinates()
 }
 
@@ -83,8 +82,8 @@
 		s.endWaiting(tick, world, entry, refusal(modeler.ReasonSuspected, min(max(wait, minRetryAfter), maxRetryAfter)))
 		return true
 	}
-	if !held(tick.Now, world, entry.Request) {
-		return claimTrial(tick.Now, world, entry.Request)
+	if !held(tick.Now, world, entry.Request) && !claimTrial(tick, world, entry.Request) {
+		return false
 	}
 	if !tick.Now.Before(waitsUntil) {
 		s.endWaiting(tick, world, entry, refusal(modeler.ReasonSuspected, retryAfter(tick.Now, entry.Request)))
