Name probes of requests as those of parts

Renames only: what a released request is placed as is called a probe in all functions, and its refusal has one constructor. Lint and go test of placer and modeler pass.

--- a/internal/fleet/modeler/probe.go
+++ b/internal/fleet/modeler/probe.go
@@ -137,8 +137,8 @@
 	return b.Probe.State != ProbeNone && (b.Probe.Quarantine == b.Quarantines || !b.Probe.At.Before(b.From))
 }
 
-// UnheardFor returns how long a request whose quarantine has ended stays refused because it is not known how the last one ended; zero if it is known.
-func (b BrokenAttempts) UnheardFor(now time.Time) time.Duration {
+// UnreportedFor returns how long a request whose quarantine has ended stays refused because it is not known how the last one ended; zero if it is known.
+func (b BrokenAttempts) UnreportedFor(now time.Time) time.Duration {
 	if b.Quarantines == 0 || !b.probed() || b.Probe.State != ProbePlaced {
 		return 0
 	}
--- a/internal/fleet/placer/explain.go
+++ b/internal/fleet/placer/explain.go
@@ -43,8 +43,8 @@
 	if decision, rejected := rejectWithoutProbe(tick.Now, world, request); rejected {
 		return refused(e, decision)
 	}
-	if wait := unheardTrial(tick.Now, world, request); wait > 0 {
-		return refused(e, refusal(modeler.ReasonSuspected, min(max(wait, minRetryAfter), maxRetryAfter)))
+	if wait := unreportedProbe(tick.Now, world, request); wait > 0 {
+		return refused(e, unreportedRefusal(wait))
 	}
 	if held(tick.Now, world, request) {
 		e.Verdict, e.Cause = modeler.VerdictWait, "another request with the same content, of which an attempt has broken, is running"
--- a/internal/fleet/placer/suspects.go
+++ b/internal/fleet/placer/suspects.go
@@ -29,9 +29,9 @@
 	return running && now.Sub(brokenAttempts.TrialAt) < modeler.ObservationTime
 }
 
-// unheardTrial returns for how long a request is refused after the quarantine of its fingerprint because nobody has reported how the last one with the
+// unreportedProbe returns for how long a request is refused after the quarantine of its fingerprint because nobody has reported how the last one with the
 // fingerprint ended: its node may have failed together with an endpoint. It returns zero if the request may run.
-func unheardTrial(now time.Time, world *modeler.World, request modeler.Request) time.Duration {
+func unreportedProbe(now time.Time, world *modeler.World, request modeler.Request) time.Duration {
 	brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint)
 	if !brokenAttempts.RunsAlone(now) || brokenAttempts.Probe.ID == request.ID {
 		return 0
@@ -41,12 +41,16 @@
 	if waiting || running {
 		return 0
 	}
-	return brokenAttempts.UnheardFor(now)
+	return brokenAttempts.UnreportedFor(now)
 }
 
-// claimTrial makes a request the trial of a fingerprint whose quarantine has ended. It reports whether the request has to wait until the other nodes have been
-// told, or until the trial before it is placed. A node that places for all without coordinating tells nobody, and places at once.
-func claimTrial(tick *modeler.Tick, world *modeler.World, request modeler.Request) bool {
+func unreportedRefusal(wait time.Duration) modeler.Decision {
+	return refusal(modeler.ReasonSuspected, min(max(wait, minRetryAfter), maxRetryAfter))
+}
+
+// claimProbe makes a request the probe of its fingerprint if the quarantine of that has ended. It reports whether the request has to wait until the other nodes
+// have been told, or until the probe before it is placed. A node that places for all without coordinating tells nobody, and places at once.
+func claimProbe(tick *modeler.Tick, world *modeler.World, request modeler.Request) bool {
 	brokenAttempts, _ := world.BrokenAttempts.Get(request.Fingerprint)
 	if brokenAttempts.Quarantines == 0 || brokenAttempts.Probe.ID == request.ID {
 		return false
@@ -78,11 +82,11 @@
 		s.forward(tick, world, entry.Request, placing)
 		return true
 	}
-	if wait := unheardTrial(tick.Now, world, entry.Request); wait > 0 {
-		s.endWaiting(tick, world, entry, refusal(modeler.ReasonSuspected, min(max(wait, minRetryAfter), maxRetryAfter)))
+	if wait := unreportedProbe(tick.Now, world, entry.Request); wait > 0 {
+		s.endWaiting(tick, world, entry, unreportedRefusal(wait))
 		return true
 	}
-	if !held(tick.Now, world, entry.Request) && !claimTrial(tick, world, entry.Request) {
+	if !held(tick.Now, world, entry.Request) && !claimProbe(tick, world, entry.Request) {
 		return false
 	}
 	if !tick.Now.Before(waitsUntil) {
