Show that a limit of an endpoint holds over handovers

The table of what a successor knows said that four coordinators within 4 s exceed a Server-Limit; that was reckoned, not run.

--- a/internal/fleet/placer/limits_test.go
+++ b/internal/fleet/placer/limits_test.go
@@ -164,3 +164,40 @@
 		})
 	}
 }
+
+// TestLimitAtHandovers guards against a limit that is exceeded because each new coordinator grants what the one before has granted already.
+func TestLimitAtHandovers(t *testing.T) {
+	const seconds = 12
+	for _, interval := range []time.Duration{time.Second, 2 * time.Second} {
+		for _, limit := range []float64{0.5, 1, 2.5, 10, 40} {
+			t.Run(fmt.Sprintf("each %v with a limit of %v", interval, limit), func(t *testing.T) {
+				var granted []time.Time
+				var n *testNode
+				next := start
+				for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(10 * time.Millisecond) {
+					if !now.Before(next) {
+						n, next = limited("a", "engines", []float64{limit}), next.Add(interval)
+					}
+					n.now = now
+					r := request(modeler.RequestID(now.Sub(start).String()), "b")
+					r.Arrived, r.Due, r.Deadline = now, now.Add(300*time.Millisecond), now.Add(time.Second)
+					for _, grant := range bodies[modeler.Granted](n.run(peer("b", modeler.Ask{Request: r}))) {
+						if !grant.Decision.Refused {
+							granted = append(granted, now)
+							n.world.Unassign(grant.ID)
+						}
+					}
+				}
+				most := 0
+				for i, at := range granted {
+					end := i
+					for end < len(granted) && granted[end].Sub(at) < 4*time.Second {
+						end++
+					}
+					most = max(most, end-i)
+				}
+				assert.Check(t, float64(most) <= 1.5*4*limit+5, "%d requests in 4 s", most)
+			})
+		}
+	}
+}
